--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -4,7 +4,7 @@
 mod settings;
 
 use base64::Engine as _;
-use ladderlane::*;
+use reelrill::*;
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::{BufRead, Write};
@@ -361,7 +361,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("ladderlane-benchlink: {text}");
+            eprintln!("reelrill-benchlink: {text}");
             ExitCode::FAILURE
         }
     }
--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings of an `UP` line.
 
-use ladderlane::*;
+use reelrill::*;
 use serde_json::Value;
 
 /// A place in the settings, with its path for messages.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ladderlane::*;
+use reelrill::*;
 use std::sync::Arc;
 
 #[test]
