--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,8 +1,6 @@
 //! Speaks the bench's wire on standard input and output: parses and prints, one brain per instance.
 #![forbid(unsafe_code)]
 
-mod settings;
-
 use base64::Engine as _;
 use reelrill::*;
 use std::collections::HashMap;
@@ -153,9 +151,11 @@
                 let rest: Vec<&str> = f.parts.by_ref().collect();
                 let text =
                     if rest.is_empty() { text.to_owned() } else { format!("{text}\t{}", rest.join("\t")) };
-                let (set, origin) = settings::read(&text)?;
-                let brain = Brain::new(seed, set).map_err(|e| format!("field bootInfo: {e}"))?;
-                self.instances.insert(inst, Instance { brain, origin });
+                let wrong = |e: &dyn std::fmt::Display| format!("field bootInfo: {e}");
+                let value = serde_json::from_str(&text).map_err(|e| wrong(&e))?;
+                let site = reelrill_settings::read(&value).map_err(|e| wrong(&e))?;
+                let brain = Brain::new(seed, site.settings).map_err(|e| wrong(&e))?;
+                self.instances.insert(inst, Instance { brain, origin: site.origin });
             }
             "DESTROY" => {
                 self.instances.remove(&f.num("proxyId")?);
--- /dev/null
+++ b/router/src/client.rs
@@ -0,0 +1,325 @@
+//! The clients' side: the listener, and one task for each connection.
+
+use crate::buffer::Buffer;
+use crate::counters::count;
+use crate::exchange::{Incoming, Message, Reply};
+use crate::log::CloseReason;
+use crate::pgwire::codec::{self, FrameError, Startup};
+use crate::pgwire::comment::Comment;
+use crate::shared::{Shared, Slot};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::AsyncWriteExt as _;
+use futures_lite::future::or;
+use reelrill::{Need, RequestId};
+use slog::{info, warn};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+const STARTUP: Duration = Duration::from_secs(10);
+/// A client that does not read its answer for this long has lost it.
+const WRITING: Duration = Duration::from_secs(5);
+/// The longest wait that a client may ask for, an hour: beyond it the figure is an error.
+const LONGEST_WAIT_MS: u64 = 3_600_000;
+
+/// Accepts until the process ends. Without a free slot, connections wait in the kernel's backlog.
+pub async fn listen(shared: Rc<Shared>, executor: Rc<LocalExecutor<'static>>, listener: Async<TcpListener>) {
+    loop {
+        let slot = loop {
+            if let Some(slot) = shared.clients.take() {
+                break slot;
+            }
+            // Make room: the connection that has been idle longest goes; else one has to end by itself.
+            shared.evict.notify(1);
+            let pause = async {
+                Timer::after(Duration::from_millis(20)).await;
+            };
+            or(shared.clients.freed(), pause).await;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                count(&shared.counters.clients);
+                shared.last_arrival.set(shared.clock.now());
+                executor.spawn(serve(shared.clone(), stream, slot)).detach();
+            }
+            Err(e) => {
+                // Out of descriptors, or the client has gone meanwhile: neither may spin or end the router.
+                count(&shared.counters.accept_errors);
+                warn!(shared.log, "accept failed"; "error" => %e);
+                Timer::after(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>, _slot: Slot) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let mut client = Client { shared: shared.clone(), stream, buffer: Buffer::default() };
+    let reason = client.session().await.err().unwrap_or(CloseReason::Terminate);
+    info!(shared.log, "connection ended"; "with" => "client", "reason" => reason.code());
+}
+
+struct Client {
+    shared: Rc<Shared>,
+    stream: Async<TcpStream>,
+    buffer: Buffer,
+}
+
+/// What a client waits for, or that it has gone.
+enum Waited<T> {
+    Done(T),
+    Read(std::io::Result<usize>),
+}
+
+impl Client {
+    /// Serves the connection to its end. `Ok` is a client that said goodbye.
+    async fn session(&mut self) -> Result<(), CloseReason> {
+        let late = async {
+            Timer::after(STARTUP).await;
+            Err(CloseReason::StartupTimeout)
+        };
+        or(self.startup(), late).await?;
+        loop {
+            let (tag, body, len) = match codec::frame(self.buffer.bytes()) {
+                Ok(Some(message)) => message,
+                Ok(None) => {
+                    self.next().await?;
+                    continue;
+                }
+                Err(e) => return Err(self.broken_frame(&e).await),
+            };
+            match tag {
+                b'Q' => {
+                    let text =
+                        codec::text(body).filter(|(_, rest)| rest.is_empty()).map(|(t, _)| t.to_owned());
+                    self.buffer.consume(len);
+                    match text {
+                        Some(text) => self.on_query(&text).await?,
+                        None => return Err(self.fatal("a query that is no text").await),
+                    }
+                }
+                b'X' => return Ok(()),
+                // A client that has pipelined other commands gets its error at the Sync that ends them.
+                b'S' => {
+                    self.buffer.consume(len);
+                    let mut out = Vec::new();
+                    codec::put_ready(&mut out);
+                    self.write(&out).await?;
+                }
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
+                    self.buffer.consume(len);
+                    self.on_unsupported(tag).await?;
+                }
+                _ => return Err(self.fatal("an unknown message").await),
+            }
+        }
+    }
+
+    async fn startup(&mut self) -> Result<(), CloseReason> {
+        loop {
+            let (kind, len) = match codec::startup(self.buffer.bytes()) {
+                Ok(Some(message)) => message,
+                Ok(None) => {
+                    self.fill().await?;
+                    continue;
+                }
+                Err(e) => return Err(self.broken_frame(&e).await),
+            };
+            self.buffer.consume(len);
+            match kind {
+                Startup::Encryption => self.write(b"N").await?,
+                Startup::Cancel => return Err(CloseReason::CancelRequest),
+                Startup::Version => return Err(self.fatal("this protocol version is not spoken").await),
+                Startup::Session { minor } => {
+                    let mut out = Vec::new();
+                    codec::put_welcome(&mut out, minor);
+                    return self.write(&out).await;
+                }
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> Result<(), CloseReason> {
+        let read = self.buffer.fill(&self.stream).await;
+        self.gone(&read).map_or(Ok(()), Err)
+    }
+
+    /// Why a read has ended the connection, if it has.
+    fn gone(&self, read: &std::io::Result<usize>) -> Option<CloseReason> {
+        match read {
+            Ok(0) if self.buffer.bytes().is_empty() => Some(CloseReason::Eof),
+            Ok(0) => Some(CloseReason::Truncated),
+            Ok(_) => None,
+            Err(_) => Some(CloseReason::Reset),
+        }
+    }
+
+    /// Waits for more of the next message. Between messages the router may close the connection, but only
+    /// after a look at what has come: a request that was read is answered.
+    async fn next(&mut self) -> Result<(), CloseReason> {
+        if !self.buffer.bytes().is_empty() {
+            return self.fill().await;
+        }
+        let evicted = async {
+            self.shared.evict.listen().await;
+            Waited::Done(CloseReason::Evicted)
+        };
+        let ending = async {
+            self.shared.ending.wait().await;
+            Waited::Done(CloseReason::Shutdown)
+        };
+        let read = async { Waited::Read(self.buffer.fill(&self.stream).await) };
+        match or(read, or(ending, evicted)).await {
+            Waited::Read(read) => self.gone(&read).map_or(Ok(()), Err),
+            Waited::Done(reason) => {
+                if reason == CloseReason::Evicted {
+                    count(&self.shared.counters.evicted);
+                }
+                Err(reason)
+            }
+        }
+    }
+
+    async fn on_query(&mut self, text: &str) -> Result<(), CloseReason> {
+        self.shared.last_arrival.set(self.shared.clock.now());
+        let mut out = Vec::new();
+        if text.trim_matches(|c: char| c.is_whitespace() || c == ';').is_empty() {
+            // The front sends clients once this is answered: only a router that can serve says so.
+            let shared = self.shared.clone();
+            self.attend(shared.ready.wait()).await?;
+            codec::put(&mut out, b'I', &[]);
+        } else {
+            match self.read_request(text) {
+                Ok(incoming) => match self.ask(incoming).await? {
+                    Reply::Served(answer) => {
+                        codec::put(&mut out, b'T', &[&answer.columns]);
+                        codec::put(&mut out, b'D', &[&answer.row]);
+                        codec::put(&mut out, b'C', &[&answer.tag]);
+                    }
+                    Reply::Refused { retry_after } => {
+                        let after = retry_after.map(|span| span.div_ceil(1_000_000).to_string());
+                        let text = "refused: trying again is harmless";
+                        codec::put_error(&mut out, false, codec::TOO_MANY, text, after.as_deref());
+                    }
+                    Reply::Failed(why) => codec::put_error(&mut out, false, codec::FAILED, why, None),
+                },
+                Err(why) => {
+                    count(&self.shared.counters.rejected);
+                    codec::put_error(&mut out, false, codec::SYNTAX, &why, None);
+                }
+            }
+        }
+        codec::put_ready(&mut out);
+        self.write(&out).await
+    }
+
+    fn read_request(&self, text: &str) -> Result<Incoming, String> {
+        let c = Comment::read(text).map_err(|e| e.to_string())?;
+        let site = &self.shared.config.site;
+        let class = site.class_names.iter().position(|name| name == c.class);
+        let class = class.ok_or_else(|| format!("unknown class '{}'", c.class))?;
+        if c.wait_ms == 0 || c.wait_ms > LONGEST_WAIT_MS {
+            return Err("d: out of range".to_owned());
+        }
+        let need = site.settings.classes.get(class).map(|class| class.need);
+        let has_session = matches!(need, Some(Need::Session | Need::Write));
+        Ok(Incoming {
+            id: c.id,
+            class: class as u32,
+            group: c.group,
+            session: has_session.then(|| c.key.into()),
+            after: c.after().filter(|_| need == Some(Need::Session)),
+            is_retry: c.is_retry,
+            wait: c.wait_ms * 1_000_000,
+            arrived: self.shared.clock.now(),
+            statement: c.statement(text),
+        })
+    }
+
+    /// Hands the request to the decider and waits for its one answer, with an eye on the client.
+    async fn ask(&mut self, incoming: Incoming) -> Result<Reply, CloseReason> {
+        let request: RequestId = incoming.id;
+        let (reply, answered) = async_channel::bounded(1);
+        let shared = self.shared.clone();
+        if shared.decider.send(Message::Request { incoming, reply }).await.is_err() {
+            return Ok(Reply::Failed("the router is ending"));
+        }
+        match self.attend(answered.recv()).await {
+            Ok(reply) => Ok(reply.unwrap_or(Reply::Failed("the router is ending"))),
+            Err(reason) => {
+                // The decider ends last; without it there is nobody to tell.
+                let _ = shared.decider.send(Message::ClientLeft { request }).await;
+                Err(reason)
+            }
+        }
+    }
+
+    /// Waits while reading on: an end, a reset or a goodbye meanwhile means that the client has left.
+    async fn attend<T>(&mut self, what: impl Future<Output = T>) -> Result<T, CloseReason> {
+        let mut what = std::pin::pin!(what);
+        loop {
+            if matches!(codec::frame(self.buffer.bytes()), Ok(Some((b'X', ..)))) {
+                return Err(CloseReason::LeftWaiting);
+            }
+            // What is pipelined stays in the buffer, up to one message of the largest size.
+            let full = self.buffer.bytes().len() > codec::LARGEST;
+            let read = async {
+                if full {
+                    futures_lite::future::pending::<()>().await;
+                }
+                Waited::Read(self.buffer.fill(&self.stream).await)
+            };
+            match or(async { Waited::Done(what.as_mut().await) }, read).await {
+                Waited::Done(done) => return Ok(done),
+                Waited::Read(Ok(0)) => return Err(CloseReason::LeftWaiting),
+                Waited::Read(Ok(_)) => {}
+                Waited::Read(Err(_)) => return Err(CloseReason::Reset),
+            }
+        }
+    }
+
+    /// Extended queries are not spoken: one error for the sequence, which ends with its Sync.
+    async fn on_unsupported(&mut self, tag: u8) -> Result<(), CloseReason> {
+        count(&self.shared.counters.rejected);
+        let mut out = Vec::new();
+        let why = format!("message '{}' is not supported: use simple queries", char::from(tag));
+        codec::put_error(&mut out, false, codec::UNSUPPORTED, &why, None);
+        self.write(&out).await?;
+        loop {
+            match codec::frame(self.buffer.bytes()) {
+                Ok(Some((b'S' | b'X' | b'Q', ..))) => return Ok(()),
+                Ok(Some((_, _, len))) => self.buffer.consume(len),
+                Ok(None) => self.fill().await?,
+                Err(e) => return Err(self.broken_frame(&e).await),
+            }
+        }
+    }
+
+    async fn broken_frame(&mut self, e: &FrameError) -> CloseReason {
+        self.fatal(&e.to_string()).await;
+        match e {
+            FrameError::Oversized(_) => CloseReason::Oversized,
+            FrameError::Malformed => CloseReason::Malformed,
+        }
+    }
+
+    /// Says what is wrong; the connection is closed after it.
+    async fn fatal(&mut self, why: &str) -> CloseReason {
+        count(&self.shared.counters.rejected);
+        let mut out = Vec::new();
+        codec::put_error(&mut out, true, codec::PROTOCOL_VIOLATION, why, None);
+        // The connection ends here in any case.
+        let _ = self.write(&out).await;
+        CloseReason::Malformed
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
+        let late = async {
+            Timer::after(WRITING).await;
+            Err(CloseReason::NotReading)
+        };
+        let write = async { (&self.stream).write_all(bytes).await.map_err(|_| CloseReason::Reset) };
+        or(write, late).await
+    }
+}
--- /dev/null
+++ b/router/src/config.rs
@@ -0,0 +1,75 @@
+//! The configuration: `RELAY_CONFIG`, overridden by the other variables.
+
+use crate::exchange::Listed;
+use crate::roster;
+use reelrill_settings::Site;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("RELAY_CONFIG is not set")]
+    NoPath,
+    #[error("{path}: {source}")]
+    Read { path: String, source: std::io::Error },
+    #[error("{path}: {source}")]
+    Json { path: String, source: serde_json::Error },
+    #[error("settings: {0}")]
+    Settings(String),
+    #[error("{0} is missing or is no address")]
+    Address(&'static str),
+    #[error("known: {0}")]
+    Known(#[from] roster::ListError),
+}
+
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list as this router last had it: its version and entries.
+    pub known: (Option<u64>, Vec<Listed>),
+    pub site: Site,
+}
+
+impl Config {
+    pub fn load() -> Result<Config, ConfigError> {
+        let path = std::env::var("RELAY_CONFIG").map_err(|_| ConfigError::NoPath)?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|source| ConfigError::Read { path: path.clone(), source })?;
+        let value = serde_json::from_str(&text).map_err(|source| ConfigError::Json { path, source })?;
+        Config::read(&value, |name| std::env::var(name).ok())
+    }
+
+    fn read(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let text = |variable: &str, key: &str| {
+            env(variable).or_else(|| value.get(key).and_then(Value::as_str).map(str::to_owned))
+        };
+        let address = |variable: &'static str, key: &str| {
+            text(variable, key).and_then(|t| t.parse().ok()).ok_or(ConfigError::Address(variable))
+        };
+        let site = reelrill_settings::read(value.get("settings").unwrap_or(&Value::Null))
+            .map_err(ConfigError::Settings)?;
+        let known = match value.get("known").filter(|k| !k.is_null()) {
+            Some(known) => {
+                let list = roster::read_list(known, &site.zones)?;
+                (Some(list.version), list.entries)
+            }
+            None => (None, Vec::new()),
+        };
+        let seed = value.get("seed").and_then(Value::as_str);
+        let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
+        Ok(Config {
+            name: text("RELAY_NAME", "name").unwrap_or_else(|| "reelrill".to_owned()),
+            listen: address("RELAY_LISTEN", "listen")?,
+            discovery: address("RELAY_DISCOVERY", "discovery")?,
+            seed: seed.and_then(|s| u64::from_str_radix(s, 16).ok()).unwrap_or_default(),
+            sockets: usize::try_from(sockets).unwrap_or(1024).max(64),
+            known,
+            site,
+        })
+    }
+}
--- /dev/null
+++ b/router/src/counters.rs
@@ -0,0 +1,44 @@
+//! What the router has taken in, sent and answered; printed on SIGUSR1 and at exit.
+
+use std::cell::Cell;
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {
+        /// Plain counts since the start; one thread owns them.
+        #[derive(Default)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Cell<u64>,)+
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let all = [$((stringify!($name), self.$name.get())),+];
+                for (i, (name, n)) in all.iter().enumerate() {
+                    write!(f, "{}{name}={n}", if i > 0 { " " } else { "" })?;
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted, and the times that there was no descriptor for one.
+    clients, accept_errors,
+    /// Idle client connections closed to make room.
+    evicted,
+    /// Requests taken in, and statements that were none.
+    requests, rejected,
+    /// Final answers, by kind; clients that left first; answers that the brain left overdue.
+    served, refused, failed, client_left, overdue,
+    /// Attempts, by how they ended.
+    attempts, ok, errors, full, timed_out, connect_failed, reset, cancelled, moot, missed,
+    /// Connections to instances, probes, and calls to discovery.
+    dials, dial_failures, probes, list_calls, list_failures,
+}
+
+/// Counts one more.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
--- /dev/null
+++ b/router/src/decider.rs
@@ -0,0 +1,332 @@
+//! The actor that owns the brain: it turns messages into events, actions into orders, and keeps the table
+//! of requests, attempt numbers, timers and deadlines. It never waits for another actor.
+
+use crate::counters::count;
+use crate::exchange::{Attempt, Ended, Incoming, Listed, Message, Reply, Statement};
+use crate::peer::{self, Handle, Order};
+use crate::roster::Call;
+use crate::shared::Shared;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::future::or;
+use reelrill::*;
+use slog::{debug, error, warn};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// The final answer leaves this long before the client gives up: it has to travel.
+const MARGIN: Span = 8_000_000;
+
+/// An attempt that is out. Dropping `hold` tells its peer that it has been given up.
+struct Out {
+    number: u32,
+    member: MemberId,
+    sent: Time,
+    _hold: Sender<()>,
+}
+
+struct Open {
+    /// Taken once the final answer is given, or the client has left.
+    reply: Option<Sender<Reply>>,
+    deadline: Time,
+    statement: Rc<Statement>,
+    sends: u32,
+    out: Vec<Out>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer(u64),
+    Limit(RequestId, u32),
+    Deadline(RequestId),
+}
+
+pub struct Decider {
+    shared: Rc<Shared>,
+    executor: Rc<LocalExecutor<'static>>,
+    brain: Brain,
+    roster: Sender<Call>,
+    peers: HashMap<MemberId, Handle>,
+    open: HashMap<RequestId, Open>,
+    due: BinaryHeap<Reverse<(Time, Due)>>,
+    events: VecDeque<Event>,
+}
+
+impl Decider {
+    pub fn new(
+        shared: Rc<Shared>,
+        executor: Rc<LocalExecutor<'static>>,
+        roster: Sender<Call>,
+    ) -> Result<Decider, SettingsError> {
+        Ok(Decider {
+            brain: Brain::new(shared.config.seed, shared.config.site.settings.clone())?,
+            shared,
+            executor,
+            roster,
+            peers: HashMap::new(),
+            open: HashMap::new(),
+            due: BinaryHeap::new(),
+            events: VecDeque::new(),
+        })
+    }
+
+    pub async fn run(mut self, inbox: Receiver<Message>) {
+        self.on_list(ListKind::Remembered, self.shared.config.known.1.clone());
+        self.settle();
+        loop {
+            let next = self.due.peek().map(|Reverse((at, _))| self.shared.clock.instant(*at));
+            let timer = async {
+                match next {
+                    Some(at) => Timer::at(at).await,
+                    None => futures_lite::future::pending().await,
+                };
+                Ok(None)
+            };
+            let message = match inbox.try_recv() {
+                Ok(message) => Ok(Some(message)),
+                Err(_) => or(async { inbox.recv().await.map(Some) }, timer).await,
+            };
+            match message {
+                Ok(Some(message)) => self.on_message(message),
+                Ok(None) => {}
+                Err(_) => return,
+            }
+            self.settle();
+            self.on_due();
+        }
+    }
+
+    fn on_due(&mut self) {
+        let now = self.shared.clock.now();
+        while let Some(Reverse((at, _))) = self.due.peek()
+            && *at <= now
+        {
+            match self.due.pop() {
+                Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer { token }),
+                Some(Reverse((_, Due::Limit(request, number)))) => {
+                    self.resolve(request, number, Ended::silent(Ending::TimedOut));
+                }
+                Some(Reverse((_, Due::Deadline(request)))) => self.on_deadline(request),
+                None => {}
+            }
+            self.settle();
+        }
+    }
+
+    /// What is still out has timed out; the brain then gives the final answer, or else the host does.
+    fn on_deadline(&mut self, request: RequestId) {
+        let out = self.open.get(&request).filter(|o| o.reply.is_some());
+        let numbers: Vec<u32> = out.map_or(Vec::new(), |o| o.out.iter().map(|a| a.number).collect());
+        for number in numbers {
+            self.resolve(request, number, Ended::silent(Ending::TimedOut));
+        }
+        self.settle();
+        if self.open.get(&request).is_some_and(|o| o.reply.is_some()) {
+            count(&self.shared.counters.overdue);
+            warn!(self.shared.log, "overdue"; "request" => format_args!("{request:016x}"));
+            self.answer(request, Reply::Failed("no answer in time"));
+            self.events.push_back(Event::ClientLeft { request });
+        }
+    }
+
+    fn on_message(&mut self, message: Message) {
+        match message {
+            Message::Request { incoming, reply } => self.on_request(incoming, reply),
+            Message::ClientLeft { request } => {
+                if self.open.get_mut(&request).is_some_and(|o| o.reply.take().is_some()) {
+                    count(&self.shared.counters.client_left);
+                    self.events.push_back(Event::ClientLeft { request });
+                }
+            }
+            Message::Ended { request, attempt, ended } => self.resolve(request, attempt, ended),
+            Message::Probed { member, ended } => {
+                let report = ended.report;
+                self.events.push_back(Event::Probed { member, ending: ended.ending, report });
+            }
+            Message::List { kind, listed } => self.on_list(kind, listed),
+        }
+    }
+
+    fn on_request(&mut self, incoming: Incoming, reply: Sender<Reply>) {
+        count(&self.shared.counters.requests);
+        let id = incoming.id;
+        if self.open.contains_key(&id) {
+            // An id names one request; a second one under it must not touch the first.
+            let _ = reply.try_send(Reply::Failed("this id is already in use"));
+            return;
+        }
+        let now = self.shared.clock.now();
+        let deadline = incoming.arrived.saturating_add(incoming.wait.saturating_sub(MARGIN));
+        let statement = Rc::new(incoming.statement);
+        self.open.insert(id, Open { reply: Some(reply), deadline, statement, sends: 0, out: Vec::new() });
+        self.due.push(Reverse((deadline, Due::Deadline(id))));
+        self.events.push_back(Event::Request(Request {
+            id,
+            class: incoming.class,
+            group: incoming.group,
+            session: incoming.session,
+            since_write: incoming.after.map(|at| now.saturating_sub(at)),
+            tenant: None,
+            work: None,
+            is_retry: incoming.is_retry,
+            time_left: deadline.saturating_sub(now),
+        }));
+    }
+
+    /// The list: peers come, move and go with it.
+    fn on_list(&mut self, kind: ListKind, listed: Vec<Listed>) {
+        let now = self.shared.clock.now();
+        // Where only draining binds, one that has left the list may still be sent to.
+        let binds = !self.shared.config.site.settings.rules.only_draining_binds;
+        if binds && matches!(kind, ListKind::Whole | ListKind::Remembered) {
+            let named: BTreeSet<&MemberId> = listed.iter().map(|l| &l.entry.member).collect();
+            self.peers.retain(|member, _| named.contains(member));
+        }
+        for Listed { entry, endpoint } in &listed {
+            if entry.state == State::Gone {
+                if binds {
+                    self.peers.remove(&entry.member);
+                }
+                continue;
+            }
+            let handle = self.peers.entry(entry.member.clone()).or_insert_with(|| {
+                peer::start(&self.shared, &self.executor, entry.member.clone(), *endpoint)
+            });
+            let leaving = (entry.state == State::Draining).then(|| handle.told.leaving.get().unwrap_or(now));
+            handle.told.leaving.set(leaving);
+            if handle.told.endpoint.replace(*endpoint) != *endpoint {
+                // A full mailbox means that the peer is about to look anyway.
+                let _ = handle.orders.try_send(Order::Told);
+            }
+        }
+        if !self.peers.is_empty() {
+            self.shared.ready.raise();
+        }
+        let entries = listed.into_iter().map(|l| l.entry).collect();
+        self.events.push_back(Event::List { kind, entries });
+    }
+
+    /// Feeds the brain until it has nothing more to do.
+    fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            let now = self.shared.clock.now();
+            self.brain.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Send { request, member, limit } => self.send(now, request, member, limit),
+            Action::Refuse { request, retry_after } => self.answer(request, Reply::Refused { retry_after }),
+            Action::Fail { request } => self.answer(request, Reply::Failed("not served")),
+            Action::Cancel { request, attempt } => {
+                self.resolve(request, attempt, Ended::silent(Ending::Cancelled));
+            }
+            Action::SetTimer { after, token } => {
+                self.due.push(Reverse((now.saturating_add(after), Due::Timer(token))));
+            }
+            Action::Probe { member } => {
+                let sent = self.peers.get(&member).is_some_and(|p| p.orders.try_send(Order::Probe).is_ok());
+                if !sent {
+                    let (ending, report) = (Ending::ConnectFailed, Standing::default());
+                    self.events.push_back(Event::Probed { member, ending, report });
+                }
+            }
+            // A call that still waits in the mailbox will do for this one, too.
+            Action::Subscribe => drop(self.roster.try_send(Call::Subscribe)),
+            Action::FetchList => drop(self.roster.try_send(Call::Fetch)),
+        }
+    }
+
+    fn send(&mut self, now: Time, request: RequestId, member: MemberId, limit: Option<Span>) {
+        let most = self.shared.config.site.settings.limits.max_attempts;
+        let Some(open) = self.open.get_mut(&request) else {
+            error!(self.shared.log, "send for no request"; "request" => format_args!("{request:016x}"));
+            return;
+        };
+        count(&self.shared.counters.attempts);
+        let number = open.sends;
+        open.sends += 1;
+        let (hold, given_up) = async_channel::bounded(1);
+        open.out.push(Out { number, member: member.clone(), sent: now, _hold: hold });
+        if open.reply.is_none() || now >= open.deadline || number >= most {
+            return self.resolve(request, number, Ended::silent(Ending::Moot));
+        }
+        let until = limit.map_or(open.deadline, |l| open.deadline.min(now.saturating_add(l)));
+        let attempt = Attempt { request, number, statement: open.statement.clone(), until, given_up };
+        let ordered = match self.peers.get(&member) {
+            Some(peer) => peer.orders.try_send(Order::Attempt(attempt)).is_ok(),
+            None => false,
+        };
+        if !ordered {
+            return self.resolve(request, number, Ended::silent(Ending::ConnectFailed));
+        }
+        if limit.is_some() {
+            self.due.push(Reverse((until, Due::Limit(request, number))));
+        }
+    }
+
+    /// The one outcome of an attempt. A second one finds no attempt and changes nothing.
+    fn resolve(&mut self, request: RequestId, number: u32, ended: Ended) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(at) = open.out.iter().position(|a| a.number == number) else { return };
+        let out = open.out.swap_remove(at);
+        let c = &self.shared.counters;
+        count(match ended.ending {
+            Ending::Served => &c.ok,
+            Ending::Error => &c.errors,
+            Ending::Full => &c.full,
+            Ending::TimedOut => &c.timed_out,
+            Ending::ConnectFailed => &c.connect_failed,
+            Ending::Reset => &c.reset,
+            Ending::Cancelled => &c.cancelled,
+            Ending::Moot => &c.moot,
+            Ending::Miss => &c.missed,
+        });
+        let latency = self.shared.clock.now().saturating_sub(out.sent);
+        debug!(self.shared.log, "attempt ended"; "request" => format_args!("{request:016x}"),
+               "number" => number, "member" => &*out.member, "ending" => ?ended.ending, "ns" => latency);
+        if let Some(answer) = ended.answer {
+            self.answer(request, Reply::Served(answer));
+        }
+        let closed = self.open.get(&request).is_none_or(|o| o.reply.is_none());
+        self.events.push_back(Event::Outcome(Outcome {
+            request,
+            member: out.member,
+            attempt: number,
+            ending: ended.ending,
+            standing: ended.standing,
+            report: ended.report,
+            latency,
+            closed,
+        }));
+        self.forget(request);
+    }
+
+    /// Gives the final answer, if it is still owed.
+    fn answer(&mut self, request: RequestId, reply: Reply) {
+        let Some(to) = self.open.get_mut(&request).and_then(|o| o.reply.take()) else { return };
+        let c = &self.shared.counters;
+        count(match &reply {
+            Reply::Served(_) => &c.served,
+            Reply::Refused { .. } => &c.refused,
+            Reply::Failed(_) => &c.failed,
+        });
+        // A client that has just gone no longer listens; it says so by itself.
+        let _ = to.try_send(reply);
+        self.forget(request);
+    }
+
+    /// A request stays in the table until it is answered and nothing is out for it.
+    fn forget(&mut self, request: RequestId) {
+        if self.open.get(&request).is_some_and(|o| o.reply.is_none() && o.out.is_empty()) {
+            self.open.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,116 @@
+//! The reelrill router: wires the actors together on one thread and minds the signals.
+#![forbid(unsafe_code)]
+
+mod buffer;
+mod client;
+mod config;
+mod counters;
+mod decider;
+mod exchange;
+mod http;
+mod log;
+mod peer;
+mod pgwire;
+mod roster;
+mod shared;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt as _;
+use shared::Shared;
+use slog::{Logger, error, info};
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Requests count as taken from the kernel's backlog on, so it must hold a burst.
+const BACKLOG: i32 = 4096;
+const MAILBOX: usize = 1024;
+/// After SIGTERM: the shortest stay, and the quiet after the last arrival that ends it.
+const STAY: Duration = Duration::from_millis(900);
+const QUIET: Duration = Duration::from_millis(500);
+
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error(transparent)]
+    Config(#[from] config::ConfigError),
+    #[error("settings: {0}")]
+    Settings(#[from] reelrill::SettingsError),
+    #[error("{0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    #[error("signals: {0}")]
+    Signals(std::io::Error),
+}
+
+fn main() -> ExitCode {
+    let config = match config::Config::load() {
+        Ok(config) => config,
+        Err(e) => {
+            eprintln!("reelrill: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let (log, _flush) = log::start(&config.name);
+    match start(config, &log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            error!(log, "cannot start"; "error" => %e);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn listener(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    // A restart must not wait for the old connections' addresses.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(socket.into())
+}
+
+fn start(config: config::Config, log: &Logger) -> Result<(), StartError> {
+    let address = config.listen;
+    let executor = Rc::new(LocalExecutor::new());
+    let (decider, inbox) = async_channel::bounded(MAILBOX);
+    let (calls, asked) = async_channel::bounded(4);
+    let shared = Shared::new(config, log.clone(), decider);
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(StartError::Signals)?;
+    let decider = decider::Decider::new(shared.clone(), executor.clone(), calls)?;
+    let listener = listener(address).map_err(|e| StartError::Listen(address, e))?;
+    info!(log, "listening"; "address" => %address, "instances" => shared.config.known.1.len());
+    executor.spawn(decider.run(inbox)).detach();
+    executor.spawn(roster::run(shared.clone(), asked)).detach();
+    executor.spawn(client::listen(shared.clone(), executor.clone(), listener)).detach();
+    async_io::block_on(executor.run(until_ended(&shared, signals)));
+    info!(log, "counters"; "all" => %shared.counters);
+    Ok(())
+}
+
+/// Minds the signals until the router may end.
+async fn until_ended(shared: &Shared, mut signals: Signals) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Usr1) => info!(shared.log, "counters"; "all" => %shared.counters),
+            Ok(_) => break,
+            Err(e) => error!(shared.log, "signals"; "error" => %e),
+        }
+    }
+    info!(shared.log, "ending");
+    let began = shared.clock.now();
+    shared.ending.raise();
+    // Clients keep coming for a while, by the listener and by the connections that they still hold.
+    loop {
+        Timer::after(Duration::from_millis(20)).await;
+        let now = shared.clock.now();
+        let quiet = now.saturating_sub(shared.last_arrival.get()) > QUIET.as_nanos() as u64;
+        let stayed = now.saturating_sub(began) > STAY.as_nanos() as u64;
+        // The listener holds one slot for the connection that it waits for.
+        if quiet && stayed && shared.clients.used() <= 1 {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/peer/mod.rs
@@ -0,0 +1,272 @@
+//! One instance's actor: its pool of connections, the attempts that wait for one, and probes.
+
+mod link;
+
+use crate::counters::count;
+use crate::exchange::{Attempt, Ended, Message};
+use crate::log::CloseReason;
+use crate::shared::Shared;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::future::or;
+use link::{Fault, Link};
+use reelrill::{Ending, MemberId, Time};
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Part of the idle limit after which a pooled connection is retired: the instance's own clock must not
+/// close it under a request.
+const RETIRE: f64 = 0.6;
+/// Part of the drain grace that a send's first byte may use up, counted from being told.
+const DRAIN: f64 = 0.8;
+const MAILBOX: usize = 1024;
+
+/// What the list says of the instance now; read again before each send.
+pub struct Told {
+    pub endpoint: Cell<SocketAddr>,
+    pub leaving: Cell<Option<Time>>,
+}
+
+pub enum Order {
+    Attempt(Attempt),
+    Probe,
+    /// The endpoint or the state has changed.
+    Told,
+}
+
+/// The decider's end of a peer; dropping it ends the actor once nothing waits.
+pub struct Handle {
+    pub orders: Sender<Order>,
+    pub told: Rc<Told>,
+}
+
+enum News {
+    Dialled(Result<Link, Ending>),
+    Back(Link),
+}
+
+struct Peer {
+    shared: Rc<Shared>,
+    executor: Rc<LocalExecutor<'static>>,
+    member: MemberId,
+    told: Rc<Told>,
+    idle: Vec<Link>,
+    /// Attempts without a connection; a probe is none of them.
+    waiting: VecDeque<Option<Attempt>>,
+    dialling: usize,
+    news: Sender<News>,
+}
+
+pub fn start(
+    shared: &Rc<Shared>,
+    executor: &Rc<LocalExecutor<'static>>,
+    member: MemberId,
+    endpoint: SocketAddr,
+) -> Handle {
+    let (orders, inbox) = async_channel::bounded(MAILBOX);
+    let (news, back) = async_channel::bounded(MAILBOX);
+    let told = Rc::new(Told { endpoint: Cell::new(endpoint), leaving: Cell::new(None) });
+    let peer = Peer {
+        shared: shared.clone(),
+        executor: executor.clone(),
+        member,
+        told: told.clone(),
+        idle: Vec::new(),
+        waiting: VecDeque::new(),
+        dialling: 0,
+        news,
+    };
+    executor.spawn(peer.run(inbox, back)).detach();
+    Handle { orders, told }
+}
+
+enum Next {
+    Order(Option<Order>),
+    News(News),
+    Sweep,
+}
+
+impl Peer {
+    async fn run(mut self, inbox: Receiver<Order>, back: Receiver<News>) {
+        let limit = self.shared.config.site.idle_close;
+        let retire = (if limit == 0 { 10e9 } else { limit as f64 } * RETIRE) as u64;
+        loop {
+            let news = async {
+                match back.recv().await {
+                    Ok(news) => Next::News(news),
+                    Err(_) => Next::Order(None),
+                }
+            };
+            let sweep = async {
+                if self.idle.is_empty() {
+                    futures_lite::future::pending::<()>().await;
+                }
+                Timer::after(Duration::from_nanos(retire / 4)).await;
+                Next::Sweep
+            };
+            match or(news, or(async { Next::Order(inbox.recv().await.ok()) }, sweep)).await {
+                Next::Order(Some(Order::Attempt(attempt))) => self.waiting.push_back(Some(attempt)),
+                Next::Order(Some(Order::Probe)) => self.waiting.push_back(None),
+                Next::Order(Some(Order::Told)) => self.drop_moved(),
+                Next::Order(None) => {
+                    // The instance has left the list: what still waits must not be sent to it.
+                    while let Some(job) = self.waiting.pop_front() {
+                        self.unsent(job, Ending::ConnectFailed).await;
+                    }
+                    self.idle.drain(..).for_each(|l| l.end(CloseReason::Moved));
+                    return;
+                }
+                Next::News(News::Back(link)) => self.keep(link),
+                Next::News(News::Dialled(result)) => {
+                    self.dialling -= 1;
+                    match result {
+                        Ok(link) => self.keep(link),
+                        Err(ending) => self.dial_failed(ending).await,
+                    }
+                }
+                Next::Sweep => {
+                    let now = self.shared.clock.now();
+                    let old = |l: &mut Link| l.idle_since + retire < now || !l.is_open();
+                    for link in self.idle.extract_if(.., old) {
+                        link.end(CloseReason::Idle);
+                    }
+                }
+            }
+            self.dispatch(retire).await;
+        }
+    }
+
+    fn drop_moved(&mut self) {
+        let endpoint = self.told.endpoint.get();
+        for link in self.idle.extract_if(.., |l| l.endpoint != endpoint) {
+            link.end(CloseReason::Moved);
+        }
+    }
+
+    fn keep(&mut self, mut link: Link) {
+        if link.endpoint != self.told.endpoint.get() {
+            return link.end(CloseReason::Moved);
+        }
+        // An idle pool must never use up what new dials need.
+        if self.waiting.is_empty() && self.shared.upstream.scarce() {
+            return link.end(CloseReason::Evicted);
+        }
+        link.idle_since = self.shared.clock.now();
+        self.idle.push(link);
+    }
+
+    /// One dial was begun for one that waits: without other dials it gets no connection.
+    async fn dial_failed(&mut self, ending: Ending) {
+        while self.waiting.len() > self.dialling {
+            let Some(job) = self.waiting.pop_front() else { return };
+            self.unsent(job, ending).await;
+        }
+    }
+
+    async fn unsent(&self, job: Option<Attempt>, ending: Ending) {
+        let message = match job {
+            Some(a) => Message::Ended { request: a.request, attempt: a.number, ended: Ended::silent(ending) },
+            None => Message::Probed { member: self.member.clone(), ended: Ended::silent(ending) },
+        };
+        // The decider ends last; without it there is nobody to tell.
+        let _ = self.shared.decider.send(message).await;
+    }
+
+    /// Gives idle connections to those that wait, and dials for the rest.
+    async fn dispatch(&mut self, retire: u64) {
+        self.waiting.retain(|job| job.as_ref().is_none_or(|a| !a.given_up.is_closed()));
+        let grace = self.shared.config.site.settings.rules.drain_grace as f64;
+        let now = self.shared.clock.now();
+        // The grace counts to the first byte: what waited for a connection meanwhile may be too late.
+        if self.told.leaving.get().is_some_and(|t| now > t + (grace * DRAIN) as u64) {
+            while let Some(job) = self.waiting.pop_front() {
+                self.unsent(job, Ending::ConnectFailed).await;
+            }
+        }
+        while !self.waiting.is_empty() {
+            // The one used last: the others may grow old and be retired.
+            let Some(link) = self.idle.pop() else { break };
+            if link.idle_since + retire < now || !link.is_open() {
+                link.end(CloseReason::Idle);
+            } else if let Some(job) = self.waiting.pop_front() {
+                self.begin(link, job);
+            }
+        }
+        while self.dialling < self.waiting.len() {
+            let Some(slot) = self.shared.upstream.take() else {
+                return self.dial_failed(Ending::ConnectFailed).await;
+            };
+            self.dialling += 1;
+            let (member, endpoint) = (self.member.clone(), self.told.endpoint.get());
+            let (dial, news) = (Link::dial(self.shared.clone(), member, endpoint, slot), self.news.clone());
+            let task = async move {
+                // A link nobody takes ends with its log line.
+                let _ = news.send(News::Dialled(dial.await)).await;
+            };
+            self.executor.spawn(task).detach();
+        }
+    }
+
+    fn begin(&self, link: Link, job: Option<Attempt>) {
+        let (shared, news, member) = (self.shared.clone(), self.news.clone(), self.member.clone());
+        match job {
+            Some(a) => self.executor.spawn(attempt(shared, news, link, a)).detach(),
+            None => self.executor.spawn(probe(shared, news, link, member)).detach(),
+        }
+    }
+}
+
+/// One attempt on its connection. Given up, it drops the connection: a late answer has nowhere to go.
+async fn attempt(shared: Rc<Shared>, news: Sender<News>, mut link: Link, a: Attempt) {
+    if a.given_up.is_closed() {
+        let _ = news.send(News::Back(link)).await;
+        return;
+    }
+    let text = a.statement.with_wait(a.until.saturating_sub(shared.clock.now()));
+    let given_up = async {
+        // Nothing is ever sent: it ends when the decider drops its end.
+        let _ = a.given_up.recv().await;
+        None
+    };
+    let Some(result) = or(async { Some(link.query(&text).await) }, given_up).await else { return };
+    let ended = match result {
+        Err(Fault::NotWritten) => Ended::silent(Ending::ConnectFailed),
+        Err(Fault::Broken) => Ended::silent(Ending::Reset),
+        Ok(response) => {
+            let (standing, report, ready) = (response.standing, response.report, response.ready);
+            let (ending, answer) = response.ending();
+            if ready {
+                let _ = news.send(News::Back(link)).await;
+            }
+            Ended { ending, standing, report, answer }
+        }
+    };
+    let _ = shared.decider.send(Message::Ended { request: a.request, attempt: a.number, ended }).await;
+}
+
+async fn probe(shared: Rc<Shared>, news: Sender<News>, mut link: Link, member: MemberId) {
+    count(&shared.counters.probes);
+    let limit = Duration::from_nanos(shared.config.site.settings.limits.connect_timeout.max(100_000_000));
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    let ended = match or(async { Some(link.query(b"SHOW gauges").await) }, late).await {
+        None => Ended::silent(Ending::TimedOut),
+        Some(Err(_)) => Ended::silent(Ending::Reset),
+        Some(Ok(response)) => {
+            let report = response.text().map(link::read_report).unwrap_or_default();
+            let (standing, ready) = (response.standing, response.ready);
+            let (ending, _) = response.ending();
+            if ready {
+                let _ = news.send(News::Back(link)).await;
+            }
+            Ended { ending, standing, report, answer: None }
+        }
+    };
+    let _ = shared.decider.send(Message::Probed { member, ended }).await;
+}
--- /dev/null
+++ b/router/src/shared.rs
@@ -0,0 +1,140 @@
+//! What all tasks of the one thread share: clock, log, counters, the descriptor budget and the phase.
+
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::exchange::Message;
+use event_listener::Event;
+use reelrill::Time;
+use slog::Logger;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Unix nanoseconds at the start plus monotonic time since: a step of the system's clock moves no timer.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: u64,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos();
+        Clock { start: Instant::now(), unix: unix as u64 }
+    }
+
+    pub fn now(&self) -> Time {
+        self.unix + self.start.elapsed().as_nanos() as u64
+    }
+
+    /// The instant of a time, for timers.
+    pub fn instant(&self, at: Time) -> Instant {
+        self.start + std::time::Duration::from_nanos(at.saturating_sub(self.unix))
+    }
+}
+
+/// Descriptors in use on one side. A [`Slot`] holds one and gives it back when dropped.
+#[derive(Default)]
+pub struct Slots {
+    used: Cell<usize>,
+    most: usize,
+    freed: Event,
+}
+
+pub struct Slot(Rc<Slots>);
+
+impl Slots {
+    fn new(most: usize) -> Rc<Slots> {
+        Rc::new(Slots { most, ..Slots::default() })
+    }
+
+    pub fn take(self: &Rc<Self>) -> Option<Slot> {
+        if self.used.get() >= self.most {
+            return None;
+        }
+        self.used.set(self.used.get() + 1);
+        Some(Slot(self.clone()))
+    }
+
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    /// More than three quarters are in use: nothing should be kept that could be closed.
+    pub fn scarce(&self) -> bool {
+        self.used.get() * 4 > self.most * 3
+    }
+
+    pub fn freed(&self) -> event_listener::EventListener {
+        self.freed.listen()
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.used.set(self.0.used.get().saturating_sub(1));
+        self.0.freed.notify(1);
+    }
+}
+
+/// A condition that comes true once.
+#[derive(Default)]
+pub struct Flag {
+    set: Cell<bool>,
+    event: Event,
+}
+
+impl Flag {
+    pub fn raise(&self) {
+        self.set.set(true);
+        self.event.notify(usize::MAX);
+    }
+
+    pub async fn wait(&self) {
+        while !self.set.get() {
+            self.event.listen().await;
+        }
+    }
+}
+
+pub struct Shared {
+    pub config: Config,
+    pub clock: Clock,
+    pub log: Logger,
+    pub counters: Counters,
+    /// Descriptors for clients and, apart from them, for instances.
+    pub clients: Rc<Slots>,
+    pub upstream: Rc<Slots>,
+    /// Wakes the client connection that has been idle longest, to close it.
+    pub evict: Event,
+    /// The router knows instances to serve from.
+    pub ready: Flag,
+    /// SIGTERM has come.
+    pub ending: Flag,
+    /// When a connection or a request last came in.
+    pub last_arrival: Cell<Time>,
+    pub decider: async_channel::Sender<Message>,
+}
+
+/// Kept back for the listener, the reactor, the log, discovery and what a library may open.
+const SPARE: usize = 40;
+
+impl Shared {
+    pub fn new(config: Config, log: Logger, decider: async_channel::Sender<Message>) -> Rc<Shared> {
+        let free = config.sockets - SPARE;
+        let clock = Clock::new();
+        Rc::new(Shared {
+            clients: Slots::new(free * 3 / 5),
+            upstream: Slots::new(free * 2 / 5),
+            config,
+            log,
+            counters: Counters::default(),
+            evict: Event::new(),
+            ready: Flag::default(),
+            ending: Flag::default(),
+            last_arrival: Cell::new(clock.now()),
+            clock,
+            decider,
+        })
+    }
+}
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,8 +1,25 @@
-//! Reads the settings of an `UP` line.
+//! Reads the settings object that the adapter gets on the wire and the router in its configuration.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use reelrill::*;
 use serde_json::Value;
 
+/// What a host needs of the settings: the brain's part, and what only the host itself uses.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// What the brain is told.
+    pub settings: Settings,
+    /// The clock time from which positions are counted on the simulator's wire.
+    pub origin: Time,
+    /// The classes' names, in the order that [`Request::class`] counts.
+    pub class_names: Vec<String>,
+    /// The zones' names, in the order that [`Entry::zone`] counts.
+    pub zones: Vec<String>,
+    /// A member closes a connection that has been idle this long (0: not told).
+    pub idle_close: Span,
+}
+
 /// A place in the settings, with its path for messages.
 struct At<'a> {
     value: &'a Value,
@@ -14,12 +31,12 @@
         let path = if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) };
         match self.value.get(key) {
             Some(value) if !value.is_null() => Ok(At { value, path }),
-            _ => Err(format!("field bootInfo: {path} is missing")),
+            _ => Err(format!("{path} is missing")),
         }
     }
 
     fn wrong(&self, wanted: &str) -> String {
-        format!("field bootInfo: {} is not {wanted}", self.path)
+        format!("{} is not {wanted}", self.path)
     }
 
     fn float(&self, key: &str) -> Result<f64, String> {
@@ -37,8 +54,7 @@
     }
 
     fn small(&self, key: &str) -> Result<u32, String> {
-        u32::try_from(self.whole(key)?)
-            .map_err(|_| format!("field bootInfo: {}.{key} is too large", self.path))
+        u32::try_from(self.whole(key)?).map_err(|_| format!("{}.{key} is too large", self.path))
     }
 
     fn flag(&self, key: &str) -> Result<bool, String> {
@@ -52,7 +68,7 @@
     }
 
     fn unknown<T>(&self, key: &str, word: &str) -> Result<T, String> {
-        Err(format!("field bootInfo: {}.{key}: unknown word '{word}'", self.path))
+        Err(format!("{}.{key}: unknown word '{word}'", self.path))
     }
 
     fn list(&self, key: &str) -> Result<Vec<At<'a>>, String> {
@@ -73,26 +89,25 @@
     }
 }
 
-/// Reads the settings and the clock time from which positions are counted.
-pub fn read(text: &str) -> Result<(Settings, Time), String> {
-    let value: Value = serde_json::from_str(text).map_err(|e| format!("field bootInfo: {e}"))?;
-    let top = At { value: &value, path: String::new() };
+/// Reads the settings; an error names the field and what is wrong with it.
+pub fn read(value: &Value) -> Result<Site, String> {
+    let top = At { value, path: String::new() };
     let family = top.get("familyInfo")?;
     let ages = family.list("maxAge")?;
     let needs = family.list("freshness")?;
-    let mut classes = Vec::new();
+    let (mut classes, mut class_names) = (Vec::new(), Vec::new());
     for (i, c) in top.list("classes")?.iter().enumerate() {
         let need = match needs.get(i).and_then(|n| n.value.as_str()) {
             Some("eventual") => Need::Any,
             Some("lag_bound") => {
                 let age = ages.get(i).and_then(|a| a.value.as_u64());
-                Need::Bounded(age.ok_or(format!("field bootInfo: familyInfo.maxAge[{i}] is missing"))?)
+                Need::Bounded(age.ok_or(format!("familyInfo.maxAge[{i}] is missing"))?)
             }
             Some("causal") => Need::Session,
             Some("strong") => Need::Fresh,
             Some("mutate") => Need::Write,
             Some(other) => return family.unknown(&format!("freshness[{i}]"), other),
-            None => return Err(format!("field bootInfo: familyInfo.freshness[{i}] is missing")),
+            None => return Err(format!("familyInfo.freshness[{i}] is missing")),
         };
         let repeat = match c.word("repeat")? {
             "retryable" => Repeat::Safe,
@@ -105,6 +120,7 @@
             }),
             other => return c.unknown("repeat", other),
         };
+        class_names.push(c.or("name", "", At::word)?.to_owned());
         classes.push(Class {
             need,
             repeat,
@@ -183,5 +199,10 @@
             connect_timeout: limits.or("connectTimeout", 0, At::whole)?,
         },
     };
-    Ok((settings, family.whole("originTime")?))
+    let mut zones = Vec::new();
+    for z in top.or("zones", Vec::new(), At::list)? {
+        zones.push(z.value.as_str().ok_or_else(|| z.wrong("a text"))?.to_owned());
+    }
+    let idle_close = limits.or("idleClose", 0, At::whole)?;
+    Ok(Site { settings, origin: family.whole("originTime")?, class_names, zones, idle_close })
 }
