--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -81,7 +81,8 @@
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(StartError::Signals)?;
     let decider = decider::Decider::new(shared.clone(), executor.clone(), calls)?;
     let listener = listener(address).map_err(|e| StartError::Listen(address, e))?;
-    info!(log, "listening"; "address" => %address, "instances" => shared.config.known.1.len());
+    let bound = listener.get_ref().local_addr().unwrap_or(address);
+    info!(log, "listening"; "address" => %bound, "instances" => shared.config.known.1.len());
     executor.spawn(decider.run(inbox)).detach();
     executor.spawn(roster::run(shared.clone(), asked)).detach();
     executor.spawn(client::listen(shared.clone(), executor.clone(), listener)).detach();
--- /dev/null
+++ b/router/tests/router.rs
@@ -0,0 +1,304 @@
+//! The real program, with clients, instances and discovery of the test's own.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+/// A router that knows one instance.
+fn one(act: Act) -> (Instance, Discovery, Router) {
+    let instance = Instance::start("master", act);
+    let list = vec![target("s-1", instance.address, "ready")];
+    let discovery = Discovery::start(Some(list.clone()));
+    let router = Router::start(&discovery, &list, 1024);
+    (instance, discovery, router)
+}
+
+/// Guards the whole path: startup and query in one write, the statement untouched but for a `d` that is no
+/// longer than the client's, and the value of this request.
+#[test]
+fn a_pipelined_query_is_served() {
+    let (instance, _discovery, router) = one(Act::Serve);
+    let mut client = Client::connect(router.address);
+    client.stream.write_all(&[startup(), query(&read(0xa1, 5000))].concat()).unwrap();
+    assert_eq!(client.answer().unwrap().tags, "RSSSKZ");
+    let answer = client.answer().unwrap();
+    assert_eq!((&*answer.tags, &*answer.value), ("TDCZ", "00000000000000a1"));
+    let sent = instance.seen.change(|s| s.queries[0].clone());
+    let wait: u64 = sent.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    assert!(wait <= 5000 && wait > 1000, "{sent}");
+    assert_eq!(sent, read(0xa1, wait));
+}
+
+/// Guards the order of answers on a connection whose client does not wait for them.
+#[test]
+fn pipelined_queries_are_answered_in_order() {
+    let (_instance, _discovery, router) = one(Act::Serve);
+    let mut client = router.client();
+    let all: Vec<u8> = (1..=20).flat_map(|id| query(&read(id, 5000))).collect();
+    client.stream.write_all(&all).unwrap();
+    for id in 1..=20 {
+        assert_eq!(client.answer().unwrap().value, format!("{id:016x}"));
+    }
+}
+
+/// Guards the protocol's table of outcomes: a wrong kind misleads the decisions.
+#[rstest]
+#[case(Act::Code("XX000"), "errors=1")]
+#[case(Act::Code("53300"), "full=1")]
+#[case(Act::Code("25006"), "missed=1")]
+#[case(Act::Code("72000"), "missed=1")]
+#[case(Act::Break, "reset=1")]
+#[case(Act::Silence, "timed_out=1")]
+fn what_comes_back_becomes_its_outcome(#[case] act: Act, #[case] counted: &str) {
+    let (_instance, _discovery, router) = one(act);
+    // A silent instance is given 600 ms; from the others an outcome comes long before the end.
+    let answer = router.client().ask(&read(1, 600));
+    assert!(["53300", "58000"].contains(&&*answer.code), "{answer:?}");
+    let kind = counted.split('=').next().unwrap();
+    let line = counted_line(&router);
+    assert!(!line.contains(&format!(" {kind}=0 ")), "{line}");
+    for other in ["errors", "full", "missed", "reset", "timed_out", "connect_failed"] {
+        // After a broken connection, further tries may be made, but none of another kind.
+        assert!(other == kind || line.contains(&format!(" {other}=0 ")), "{other}: {line}");
+    }
+}
+
+fn counted_line(router: &Router) -> String {
+    let before = router.log.change(|l| l.len());
+    router.signal("USR1");
+    let line = |l: &mut Vec<String>| l[before..].iter().find(|l| l.contains("counters")).cloned();
+    router.log.wait_for(LIMIT, line).unwrap()
+}
+
+/// Guards against holding what was given up on, and against answers after the client has stopped waiting.
+#[test]
+fn a_silent_instance_is_given_up_before_the_client_gives_up() {
+    let (_instance, _discovery, router) = one(Act::Silence);
+    let mut client = router.client();
+    let began = Instant::now();
+    let answer = client.ask(&read(1, 600));
+    assert!(began.elapsed() >= Duration::from_millis(500), "{:?}", began.elapsed());
+    assert_eq!((&*answer.tags, &*answer.code), ("EZ", "53300"));
+    let advice: u64 = answer.detail.unwrap().parse().unwrap();
+    assert!((1..=1000).contains(&advice), "{advice}");
+    // The timer fired 8 ms early: the counters name no overdue answer.
+    assert!(router.counted("overdue=0"));
+}
+
+/// Guards against a late answer on a given-up attempt reaching the next request on the same path.
+#[test]
+fn a_late_answer_reaches_nobody_else() {
+    let (instance, _discovery, router) = one(Act::Silence);
+    let mut client = router.client();
+    assert_eq!(client.ask(&read(1, 600)).code, "53300");
+    instance.act.change(|a| *a = Act::Serve);
+    assert_eq!(client.ask(&read(2, 5000)).value, "0000000000000002");
+    assert_eq!(instance.seen.change(|s| s.connections), 2);
+    assert!(router.logged("reason: given_up"));
+}
+
+/// Guards against a request being written to a pooled connection that the instance has already closed.
+#[test]
+fn a_pooled_connection_that_was_closed_is_not_used() {
+    let (instance, _discovery, router) = one(Act::ServeAndClose);
+    let mut client = router.client();
+    for id in 1..=5 {
+        assert_eq!(client.ask(&read(id, 5000)).value, format!("{id:016x}"));
+        let ended = |s: &mut Seen| (s.ended == id as usize).then_some(());
+        assert!(instance.seen.wait_for(LIMIT, ended).is_some());
+    }
+    assert!(router.counted("reset=0") && router.counted("served=5"));
+}
+
+/// Guards against a handshake for each request.
+#[test]
+fn a_connection_is_kept_for_the_next_request() {
+    let (instance, _discovery, router) = one(Act::Serve);
+    let mut client = router.client();
+    for id in 1..=20 {
+        assert_eq!(client.ask(&read(id, 5000)).value, format!("{id:016x}"));
+    }
+    assert_eq!(instance.seen.change(|s| s.connections), 1);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    Terminate,
+    Eof,
+}
+
+/// Guards against work that goes on for a client that has gone.
+#[rstest]
+#[case(Leave::Terminate)]
+#[case(Leave::Eof)]
+fn a_client_that_leaves_while_waiting_is_noticed(#[case] how: Leave) {
+    let (instance, _discovery, router) = one(Act::Silence);
+    let mut client = router.client();
+    client.stream.write_all(&query(&read(1, 20_000))).unwrap();
+    assert!(instance.seen.wait_for(LIMIT, |s| (s.queries.len() == 1).then_some(())).is_some());
+    match how {
+        Leave::Terminate => client.stream.write_all(&message(b'X', b"")).unwrap(),
+        Leave::Eof => client.stream.shutdown(std::net::Shutdown::Write).unwrap(),
+    }
+    assert!(router.counted("client_left=1") && router.counted("cancelled=1"));
+    assert!(router.logged("reason: left_waiting"));
+    assert!(client.answer().is_none());
+}
+
+/// Guards against panics and silence on input that makes no sense, and against losing the connection for
+/// what harms nobody.
+#[rstest]
+#[case("SELECT 1", "42601")]
+#[case("SELECT 'k' /* id=00000000000000a1,c=nonsense,d=500,cluster=2 */", "42601")]
+#[case("SELECT 'k' /* id=00000000000000a1,c=board,d=0,cluster=2 */", "42601")]
+#[case("SELECT 'k' /* id=00000000000000a1,c=board,d=99999999999999999999,cluster=2 */", "42601")]
+fn a_statement_that_is_no_request_gets_an_error(#[case] text: &str, #[case] code: &str) {
+    let (_instance, _discovery, router) = one(Act::Serve);
+    let mut client = router.client();
+    let answer = client.ask(text);
+    assert_eq!((&*answer.tags, &*answer.code), ("EZ", code));
+    assert_eq!(client.ask(&read(1, 5000)).value, "0000000000000001");
+}
+
+#[rstest]
+#[case(&[b'Q', 0x7f, 0, 0, 0], "oversized")]
+#[case(&[b'Q', 0, 0, 0, 1], "malformed")]
+#[case(&[b'?', 0, 0, 0, 4], "malformed")]
+#[case(&[b'Q', 0, 0, 0, 6, 0xff, 0], "malformed")]
+fn a_broken_message_ends_the_connection_with_its_reason(#[case] bytes: &[u8], #[case] reason: &str) {
+    let (_instance, _discovery, router) = one(Act::Serve);
+    let mut client = router.client();
+    client.stream.write_all(bytes).unwrap();
+    assert_eq!(client.answer().unwrap().code, "08P01");
+    assert_eq!(client.stream.read(&mut [0]).unwrap_or(0), 0);
+    assert!(router.logged(&format!("reason: {reason}")));
+    assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
+}
+
+/// Guards the sequence of extended messages: one error, then in step again after its Sync.
+#[test]
+fn extended_queries_are_declined_in_step() {
+    let (_instance, _discovery, router) = one(Act::Serve);
+    let mut client = router.client();
+    let sequence = [message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b"\0\0"), message(b'S', b"")];
+    client.stream.write_all(&sequence.concat()).unwrap();
+    let answer = client.answer().unwrap();
+    assert_eq!((&*answer.tags, &*answer.code), ("EZ", "0A000"));
+    assert_eq!(client.ask(&read(1, 5000)).value, "0000000000000001");
+}
+
+/// Guards readiness: the front sends clients once the empty query is answered.
+#[test]
+fn the_empty_query_waits_until_the_router_can_serve() {
+    let instance = Instance::start("master", Act::Serve);
+    let discovery = Discovery::start(None);
+    let router = Router::start(&discovery, &[], 1024);
+    let mut client = router.client();
+    client.stream.write_all(&query("")).unwrap();
+    // Several calls have failed, so the router has long looked at the query.
+    assert!(discovery.calls.wait_for(LIMIT, |c| (c.len() > 4).then_some(())).is_some());
+    client.stream.set_nonblocking(true).unwrap();
+    assert!(client.stream.read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
+    client.stream.set_nonblocking(false).unwrap();
+    discovery.publish(vec![target("s-1", instance.address, "ready")]);
+    assert_eq!(client.answer().unwrap().tags, "IZ");
+}
+
+/// Guards the drain rule and the watch: told through it, the router sends nothing more to one that drains.
+#[test]
+fn a_draining_instance_gets_nothing_new() {
+    let (old, new) = (Instance::start("replica", Act::Serve), Instance::start("replica", Act::Serve));
+    let list = |state| vec![target("s-1", old.address, state), target("s-2", new.address, "ready")];
+    let discovery = Discovery::start(Some(list("ready")));
+    let router = Router::start(&discovery, &list("ready"), 1024);
+    let mut client = router.client();
+    discovery.publish(list("draining"));
+    // The next call of the watch carries the version that names it as draining.
+    let told = |c: &mut Vec<String>| c.iter().any(|p| p.contains("since=2&timeout_ms=10000")).then_some(());
+    assert!(discovery.calls.wait_for(LIMIT, told).is_some());
+    let before = old.seen.change(|s| s.queries.len());
+    for id in 1..=20 {
+        assert_eq!(client.ask(&read(id, 5000)).value, format!("{id:016x}"));
+    }
+    assert_eq!(old.seen.change(|s| s.queries.len()), before);
+}
+
+/// Guards the member's identity: the same uid at another address is dialled there.
+#[test]
+fn an_instance_that_moves_is_dialled_at_its_new_address() {
+    let (instance, discovery, router) = one(Act::Serve);
+    let mut client = router.client();
+    assert_eq!(client.ask(&read(1, 5000)).value, "0000000000000001");
+    let moved = Instance::start("master", Act::Serve);
+    discovery.publish(vec![target("s-1", moved.address, "ready")]);
+    assert!(router.logged("reason: moved"));
+    assert_eq!(client.ask(&read(2, 5000)).value, "0000000000000002");
+    let asked = |i: &Instance| i.seen.change(|s| s.queries.len());
+    assert_eq!((asked(&instance), asked(&moved)), (1, 1));
+}
+
+/// Guards against a list that is believed for ever: a watch that breaks is asked for again.
+#[test]
+fn a_failed_watch_is_renewed() {
+    let (instance, discovery, router) = one(Act::Serve);
+    discovery.list.change(|l| l.1 = None);
+    assert!(router.logged("discovery call failed"));
+    // Meanwhile the list it has stands.
+    assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
+    let calls = discovery.calls.change(|c| c.len());
+    discovery.publish(vec![target("s-1", instance.address, "ready")]);
+    let again = |c: &mut Vec<String>| c[calls..].iter().any(|p| p.contains("timeout_ms=10000")).then_some(());
+    assert!(discovery.calls.wait_for(LIMIT, again).is_some());
+}
+
+/// Guards the budget of descriptors: idle connections make room, and nobody is turned away.
+#[test]
+fn more_clients_than_descriptors_are_served_in_turn() {
+    let instance = Instance::start("master", Act::Serve);
+    let list = vec![target("s-1", instance.address, "ready")];
+    let discovery = Discovery::start(Some(list.clone()));
+    let router = Router::start(&discovery, &list, 64);
+    let mut kept = Vec::new();
+    for id in 1..=40 {
+        let mut client = router.client();
+        assert_eq!(client.ask(&read(id, 5000)).value, format!("{id:016x}"));
+        kept.push(client);
+    }
+    assert!(router.logged("reason: evicted") && router.counted("accept_errors=0"));
+}
+
+/// Guards a planned restart: what is being answered is answered, new clients are served, idle connections
+/// are closed, and then the router ends by itself.
+#[test]
+fn sigterm_answers_all_and_ends() {
+    let (instance, _discovery, mut router) = one(Act::Silence);
+    let (mut idle, mut waiting) = (router.client(), router.client());
+    waiting.stream.write_all(&query(&read(1, 20_000))).unwrap();
+    assert!(instance.seen.wait_for(LIMIT, |s| (s.queries.len() == 1).then_some(())).is_some());
+    router.signal("TERM");
+    assert!(idle.answer().is_none());
+    instance.act.change(|a| *a = Act::Serve);
+    let mut late = Client::connect(router.address);
+    late.stream.write_all(&[startup(), query(&read(2, 5000))].concat()).unwrap();
+    assert_eq!(late.answer().unwrap().tags, "RSSSKZ");
+    assert_eq!(late.answer().unwrap().value, "0000000000000002");
+    assert_eq!(waiting.answer().unwrap().value, "0000000000000001");
+    assert!(router.exit().success());
+    assert!(router.logged("counters") && router.counted_at_exit("served=2"));
+}
+
+/// Guards against a handshake that never ends: a machine that accepts and stays silent is no connection.
+#[test]
+fn a_handshake_without_an_answer_is_a_failed_connect() {
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let list = vec![target("s-1", silent.local_addr().unwrap(), "ready")];
+    let discovery = Discovery::start(Some(list.clone()));
+    let router = Router::start(&discovery, &list, 1024);
+    let answer = router.client().ask(&read(1, 700));
+    assert_eq!(answer.code, "53300");
+    assert!(router.logged("reason: dial_failed"));
+    assert!(router.counted("timed_out=0"));
+}
