Let a new connection have its first request while the router is ending

Seen: after SIGTERM a client that waits for the welcome before its first query was closed on, each time. Cause: client.rs next() closed any connection with an empty buffer as soon as ending was raised. Ruled out: pipelined startups, which were served before, too.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -20,6 +20,8 @@
 const STARTUP: Duration = Duration::from_secs(10);
 /// A client that does not read its answer for this long has lost it.
 const WRITING: Duration = Duration::from_secs(5);
+/// While the router is ending, how long a new connection may take to send its first request.
+const FIRST_REQUEST: Duration = Duration::from_millis(400);
 /// The longest wait that a client may ask for, an hour: beyond it the figure is an error.
 const LONGEST_WAIT_MS: u64 = 3_600_000;
 
@@ -55,7 +57,7 @@
 
 async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>, _slot: Slot) {
     let _ = stream.get_ref().set_nodelay(true);
-    let mut client = Client { shared: shared.clone(), stream, buffer: Buffer::default() };
+    let mut client = Client { shared: shared.clone(), stream, buffer: Buffer::default(), is_new: true };
     let reason = client.session().await.err().unwrap_or(CloseReason::Terminate);
     info!(shared.log, "connection ended"; "with" => "client", "reason" => reason.code());
 }
@@ -64,6 +66,8 @@
     shared: Rc<Shared>,
     stream: Async<TcpStream>,
     buffer: Buffer,
+    /// No request has come yet.
+    is_new: bool,
 }
 
 /// What a client waits for, or that it has gone.
@@ -167,6 +171,10 @@
         };
         let ending = async {
             self.shared.ending.wait().await;
+            if self.is_new {
+                // Its client would meet the same on any further connection, and lose its first request.
+                Timer::after(FIRST_REQUEST).await;
+            }
             Waited::Done(CloseReason::Shutdown)
         };
         let read = async { Waited::Read(self.buffer.fill(&self.stream).await) };
@@ -183,6 +191,7 @@
 
     async fn on_query(&mut self, text: &str) -> Result<(), CloseReason> {
         self.shared.last_arrival.set(self.shared.clock.now());
+        self.is_new = false;
         let mut out = Vec::new();
         if text.trim_matches(|c: char| c.is_whitespace() || c == ';').is_empty() {
             // The front sends clients once this is answered: only a router that can serve says so.
