End a client's connection whose message has stalled

Seen in review: client.rs next() waited without end for the rest of a message, so that clients which begin one and never end it hold their slots of the table. Now ten quiet seconds end it, with a reason code of its own.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How long a client may take over its startup, and over the rest of a message that it has begun.
 const STARTUP: Duration = Duration::from_secs(10);
 /// A client that does not read its answer for this long has lost it.
 const WRITING: Duration = Duration::from_secs(5);
@@ -163,7 +164,12 @@
     /// after a look at what has come: a request that was read is answered.
     async fn next(&mut self) -> Result<(), CloseReason> {
         if !self.buffer.bytes().is_empty() {
-            return self.fill().await;
+            let late = async {
+                Timer::after(STARTUP).await;
+                Err(CloseReason::Stalled)
+            };
+            // Each byte starts the time anew; a message that has stalled must not hold a slot for ever.
+            return or(self.fill(), late).await;
         }
         let evicted = async {
             self.shared.evict.listen().await;
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -17,6 +17,8 @@
     LeftWaiting,
     /// The startup message did not come in time.
     StartupTimeout,
+    /// The rest of a message did not come.
+    Stalled,
     /// A client's cancel request: there is nothing to do for it.
     CancelRequest,
     /// Bytes that are no message of the protocol.
@@ -54,6 +56,7 @@
             CloseReason::Terminate => "terminate",
             CloseReason::LeftWaiting => "left_waiting",
             CloseReason::StartupTimeout => "startup_timeout",
+            CloseReason::Stalled => "stalled",
             CloseReason::CancelRequest => "cancel_request",
             CloseReason::Malformed => "malformed",
             CloseReason::Oversized => "oversized",
