Time out what is still out at the deadline, also after the final answer

Seen in review: decider.rs on_deadline() passed over requests that were answered or left. Where the settings forbid cancels, an attempt on a silent instance then stayed in the table, and its connection open, for ever. Checked: the new test fails without the change and passes with it.

--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -117,7 +117,8 @@
 
     /// What is still out has timed out; the brain then gives the final answer, or else the host does.
     fn on_deadline(&mut self, request: RequestId) {
-        let out = self.open.get(&request).filter(|o| o.reply.is_some());
+        // Also after the final answer: where attempts may not be cancelled, a silent one would stay for ever.
+        let out = self.open.get(&request);
         let numbers: Vec<u32> = out.map_or(Vec::new(), |o| o.out.iter().map(|a| a.number).collect());
         for number in numbers {
             self.resolve(request, number, Ended::silent(Ending::TimedOut));
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -211,7 +211,7 @@
     }
 }
 
-fn settings() -> Value {
+pub fn settings() -> Value {
     let class = |name: &str, repeat: &str, deadline_ms: u64| {
         json!({"name": name, "repeat": repeat, "group": "cell", "credit": 1.0, "lateWorth": 0.5,
                "onTime": 900_000_000u64, "hardLimit": deadline_ms * 1_000_000, "window": 2_000_000_000u64})
@@ -240,12 +240,16 @@
 
 impl Router {
     pub fn start(discovery: &Discovery, known: &[Value], sockets: u64) -> Router {
+        Router::start_with(discovery, known, sockets, settings())
+    }
+
+    pub fn start_with(discovery: &Discovery, known: &[Value], sockets: u64, settings: Value) -> Router {
         let dir = tempfile::tempdir().unwrap();
         let path = dir.path().join("config.json");
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": {"rev": 1, "all": true, "targets": known}, "settings": settings()});
+            "known": {"rev": 1, "all": true, "targets": known}, "settings": settings});
         std::fs::write(&path, config.to_string()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_reelrill"))
             .env("RELAY_CONFIG", &path)
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -148,6 +148,26 @@
     assert!(client.answer().is_none());
 }
 
+/// Guards against an attempt that stays out for ever: where attempts may not be cancelled, one that a client
+/// has left is timed out at the client's deadline.
+#[test]
+fn an_attempt_that_may_not_be_cancelled_ends_at_the_deadline() {
+    let instance = Instance::start("master", Act::Silence);
+    let list = vec![target("s-1", instance.address, "ready")];
+    let discovery = Discovery::start(Some(list.clone()));
+    let mut settings = settings();
+    settings["ceilings"]["mayCancel"] = false.into();
+    let router = Router::start_with(&discovery, &list, 1024, settings);
+    let mut client = router.client();
+    client.stream.write_all(&query(&read(1, 1000))).unwrap();
+    assert!(instance.seen.wait_for(LIMIT, |s| (s.queries.len() == 1).then_some(())).is_some());
+    drop(client);
+    assert!(
+        router.counted("client_left=1") && router.counted("timed_out=1") && router.counted("cancelled=0")
+    );
+    assert!(instance.seen.wait_for(LIMIT, |s| (s.ended == 1).then_some(())).is_some());
+}
+
 /// Guards against panics and silence on input that makes no sense, and against losing the connection for
 /// what harms nobody.
 #[rstest]
@@ -178,6 +198,16 @@
     assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
 }
 
+/// Guards the table of clients against ones that begin a message and never end it.
+#[test]
+fn a_message_that_stalls_ends_its_connection() {
+    let (_instance, _discovery, router) = one(Act::Serve);
+    let mut client = router.client();
+    client.stream.write_all(&query(&read(1, 5000))[..30]).unwrap();
+    assert!(client.answer().is_none());
+    assert!(router.logged("reason: stalled"));
+}
+
 /// Guards the sequence of extended messages: one error, then in step again after its Sync.
 #[test]
 fn extended_queries_are_declined_in_step() {
