--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -165,6 +165,7 @@
     assert!(
         router.counted("client_left=1") && router.counted("timed_out=1") && router.counted("cancelled=0")
     );
+    instance.act.change(|a| *a = Act::Serve);
     assert!(instance.seen.wait_for(LIMIT, |s| (s.ended == 1).then_some(())).is_some());
 }
 
