Slow down a watch that is answered early without news

Seen: a test discovery that answers each watch at once was called ten times within 0.8 ms: a busy loop. Cause: roster.rs run() made the next call at once whatever the answer was. Now an early answer without entries is followed by a pause of 100 ms, within the 200 ms that a watch lasts. Checked: the new test took 0.8 ms of the 900 ms it wants before the change, and passes after it.

--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -24,6 +24,10 @@
 /// The wait of a call that is to be answered at once.
 const NOW: Duration = Duration::from_millis(1);
 
+/// Pause after a watch that was answered early without news; discovery takes a call for the same watch's next
+/// one within 200 ms.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// What the decider asks of the roster.
 #[derive(Debug, Clone, Copy)]
 pub enum Call {
@@ -106,7 +110,7 @@
         let asked = async { Err(calls.recv().await) };
         let next = if watching {
             // The next call of a watch must follow at once: a later one would start a new watch.
-            or(asked, async { Ok(roster.call(&roster.watch_path(WATCH), WATCH).await) }).await
+            or(asked, async { Ok(roster.watch().await) }).await
         } else {
             asked.await
         };
@@ -135,6 +139,18 @@
         }
     }
 
+    /// One call that waits for changes.
+    async fn watch(&self) -> Result<List, ListError> {
+        let began = self.shared.clock.now();
+        let answer = self.call(&self.watch_path(WATCH), WATCH).await?;
+        let waited = Duration::from_nanos(self.shared.clock.now().saturating_sub(began));
+        if answer.entries.is_empty() && waited < WATCH / 2 {
+            // Answered early without news: calls that follow at once would keep both sides busy for nothing.
+            Timer::after(PAUSE).await;
+        }
+        Ok(answer)
+    }
+
     /// One call, on the kept-alive connection if there is one.
     async fn call(&self, path: &str, wait: Duration) -> Result<List, ListError> {
         count(&self.shared.counters.list_calls);
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -68,6 +68,8 @@
     Serve,
     /// Serves, then closes the connection.
     ServeAndClose,
+    /// Serves a value of 64 KiB.
+    ServeLarge,
     Code(&'static str),
     /// Says nothing until the test changes the act.
     Silence,
@@ -121,8 +123,10 @@
             let id = id_of(&query);
             seen.change(|s| s.queries.push(query));
             let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).ok()?.as_millis();
-            let row = message(b'D', &[&[0, 1, 0, 0, 0, 16], id.as_bytes()].concat());
             let act = act.wait_for(LIMIT, |a| (*a != Act::Silence).then_some(*a))?;
+            let value = if act == Act::ServeLarge { id.repeat(4096) } else { id };
+            let len = (value.len() as u32).to_be_bytes();
+            let row = message(b'D', &[&[0, 1], &len[..], value.as_bytes()].concat());
             let answer = match act {
                 Act::Code(code) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
                 Act::Break => row[..10].to_vec(),
@@ -154,6 +158,8 @@
     pub list: Watched<(u64, Option<Vec<Value>>)>,
     /// The paths asked for.
     pub calls: Watched<Vec<String>>,
+    /// Calls that may wait are answered at once, news or none.
+    pub hasty: Watched<bool>,
 }
 
 impl Discovery {
@@ -161,20 +167,22 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (list, calls) = (Watched::new((1, list)), Watched::new(Vec::new()));
-        let (l, c) = (list.clone(), calls.clone());
+        let hasty = Watched::new(false);
+        let (l, c, h) = (list.clone(), calls.clone(), hasty.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (l, c) = (l.clone(), c.clone());
-                std::thread::spawn(move || Self::serve(stream, &l, &c));
+                let (l, c, h) = (l.clone(), c.clone(), h.clone());
+                std::thread::spawn(move || Self::serve(stream, &l, &c, &h));
             }
         });
-        Discovery { address, list, calls }
+        Discovery { address, list, calls, hasty }
     }
 
     fn serve(
         stream: TcpStream,
         list: &Watched<(u64, Option<Vec<Value>>)>,
         calls: &Watched<Vec<String>>,
+        hasty: &Watched<bool>,
     ) -> Option<()> {
         let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
         loop {
@@ -184,7 +192,8 @@
             let field = |name: &str| path.split(name).nth(1).and_then(|t| t.split('&').next()?.parse().ok());
             let since: u64 = field("since=").unwrap_or(0);
             let wait = Duration::from_millis(field("timeout_ms=").unwrap_or(0));
-            list.wait_for(wait, |(rev, l)| (*rev > since || l.is_none()).then_some(()));
+            let hasty = hasty.change(|h| *h);
+            list.wait_for(wait, |(rev, l)| (hasty || *rev > since || l.is_none()).then_some(()));
             let body = list.change(|(rev, l)| {
                 l.as_ref().map(|l| {
                     let none = Vec::new();
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -44,6 +44,20 @@
     }
 }
 
+/// Guards the largest values both ways: whole, unchanged, and not held for longer than they are needed.
+#[test]
+fn values_of_64_kib_pass_whole() {
+    let (instance, _discovery, router) = one(Act::ServeLarge);
+    let mut client = router.client();
+    let comment =
+        |wait: &str| format!("/* id=00000000000000b1,c=book,d={wait},k=5c0f6e1a2b3d4c59,cluster=2 */");
+    let insert = format!("INSERT INTO facts (code, data) VALUES ('k', '\\x{}') ", "9f".repeat(65_536));
+    let answer = client.ask(&(insert.clone() + &comment("5000")));
+    assert_eq!(answer.value, "00000000000000b1".repeat(4096));
+    let sent = instance.seen.change(|s| s.queries[0].clone());
+    assert!(sent.starts_with(&insert) && sent.ends_with(",k=5c0f6e1a2b3d4c59,cluster=2 */"));
+}
+
 /// Guards the protocol's table of outcomes: a wrong kind misleads the decisions.
 #[rstest]
 #[case(Act::Code("XX000"), "errors=1")]
@@ -285,6 +299,31 @@
     assert!(discovery.calls.wait_for(LIMIT, again).is_some());
 }
 
+/// Guards against a busy loop: a watch that is answered at once, again and again, is slowed down, though not
+/// beyond the 200 ms after which discovery takes it for a new one.
+#[test]
+fn a_hasty_watch_is_not_followed_at_full_speed() {
+    let (_instance, discovery, _router) = one(Act::Serve);
+    discovery.hasty.change(|h| *h = true);
+    discovery.list.change(|_| ());
+    let nth = |n: usize| discovery.calls.wait_for(LIMIT, |c| (c.len() >= n).then(Instant::now)).unwrap();
+    let (first, last) = (nth(4), nth(14));
+    assert!(last - first >= Duration::from_millis(900), "{:?}", last - first);
+}
+
+/// Guards against a start on a configuration that makes no sense, without a word of what is wrong.
+#[rstest]
+#[case("{", "EOF")]
+#[case("{}", "familyInfo is missing")]
+fn a_wrong_configuration_is_named(#[case] text: &str, #[case] wanted: &str) {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), text).unwrap();
+    let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_reelrill"));
+    let output = program.env("RELAY_CONFIG", file.path()).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && said.contains(wanted), "{said}");
+}
+
 /// Guards the budget of descriptors: idle connections make room, and nobody is turned away.
 #[test]
 fn more_clients_than_descriptors_are_served_in_turn() {
