Let a peer without a descriptor ask another peer for an idle connection

Cause: peer/mod.rs keep() closed each connection given back while three quarters of the descriptors were in use, and dispatch() failed at once what found no descriptor. Now a peer in need wakes the one with an idle connection, and waits as long as a connect may take.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -34,7 +34,7 @@
                 break slot;
             }
             // Make room: the connection that has been idle longest goes; else one has to end by itself.
-            shared.evict.notify(1);
+            shared.clients.want();
             let pause = async {
                 Timer::after(Duration::from_millis(20)).await;
             };
@@ -180,7 +180,7 @@
             return or(self.fill(), late).await;
         }
         let evicted = async {
-            self.shared.evict.listen().await;
+            self.shared.clients.wanted().await;
             Waited::Done(CloseReason::Evicted)
         };
         let ending = async {
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use futures_lite::future::or;
 use link::{Fault, Link};
-use reelrill::{Ending, MemberId, Time};
+use reelrill::{Ending, MemberId, Span, Time};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -44,6 +44,9 @@
     pub told: Rc<Told>,
 }
 
+/// What is to be done on a connection; without an attempt it is a probe.
+type Job = Option<Attempt>;
+
 enum News {
     Dialled(Result<Link, Ending>),
     Back(Link),
@@ -55,8 +58,8 @@
     member: MemberId,
     told: Rc<Told>,
     idle: Vec<Link>,
-    /// Attempts without a connection; a probe is none of them.
-    waiting: VecDeque<Option<Attempt>>,
+    /// Those without a connection, and since when.
+    waiting: VecDeque<(Time, Job)>,
     dialling: usize,
     news: Sender<News>,
 }
@@ -87,7 +90,14 @@
 enum Next {
     Order(Option<Order>),
     News(News),
+    /// Time to look for connections that are too old.
     Sweep,
+    /// Another peer has no descriptor left, and this one has an idle connection.
+    Spare,
+    /// A descriptor may be free for what waits here.
+    Freed,
+    /// What has waited longest got no descriptor in time.
+    Late,
 }
 
 impl Peer {
@@ -108,13 +118,37 @@
                 Timer::after(Duration::from_nanos(retire / 4)).await;
                 Next::Sweep
             };
-            match or(news, or(async { Next::Order(inbox.recv().await.ok()) }, sweep)).await {
-                Next::Order(Some(Order::Attempt(attempt))) => self.waiting.push_back(Some(attempt)),
-                Next::Order(Some(Order::Probe)) => self.waiting.push_back(None),
+            let spare = async {
+                if self.idle.is_empty() {
+                    futures_lite::future::pending::<()>().await;
+                }
+                self.shared.upstream.wanted().await;
+                Next::Spare
+            };
+            // Only what has no dial of its own waits for a descriptor.
+            let lacking = self.waiting.get(self.dialling).map(|(since, _)| since + self.patience());
+            let late = async {
+                match lacking {
+                    Some(at) => Timer::at(self.shared.clock.instant(at)).await,
+                    None => futures_lite::future::pending().await,
+                };
+                Next::Late
+            };
+            let freed = async {
+                if lacking.is_none() {
+                    futures_lite::future::pending::<()>().await;
+                }
+                self.shared.upstream.freed().await;
+                Next::Freed
+            };
+            let order = async { Next::Order(inbox.recv().await.ok()) };
+            match or(news, or(order, or(or(freed, late), or(spare, sweep)))).await {
+                Next::Order(Some(Order::Attempt(attempt))) => self.wait(Some(attempt)),
+                Next::Order(Some(Order::Probe)) => self.wait(None),
                 Next::Order(Some(Order::Told)) => self.drop_moved(),
                 Next::Order(None) => {
                     // The instance has left the list: what still waits must not be sent to it.
-                    while let Some(job) = self.waiting.pop_front() {
+                    while let Some((_, job)) = self.waiting.pop_front() {
                         self.unsent(job, Ending::ConnectFailed).await;
                     }
                     self.idle.drain(..).for_each(|l| l.end(CloseReason::Moved));
@@ -128,6 +162,17 @@
                         Err(ending) => self.dial_failed(ending).await,
                     }
                 }
+                Next::Spare if !self.idle.is_empty() => {
+                    count(&self.shared.counters.evicted);
+                    self.idle.remove(0).end(CloseReason::Evicted);
+                }
+                Next::Spare | Next::Freed => {}
+                Next::Late => {
+                    // The one that has waited longest takes the first connection, so it is the first to give up.
+                    if let Some((_, job)) = self.waiting.pop_front() {
+                        self.unsent(job, Ending::ConnectFailed).await;
+                    }
+                }
                 Next::Sweep => {
                     let now = self.shared.clock.now();
                     let old = |l: &mut Link| l.idle_since + retire < now || !l.is_open();
@@ -140,6 +185,18 @@
         }
     }
 
+    fn wait(&mut self, job: Job) {
+        self.waiting.push_back((self.shared.clock.now(), job));
+    }
+
+    /// How long a connection may take to come up, a wait for a descriptor included.
+    fn patience(&self) -> Span {
+        match self.shared.config.site.settings.limits.connect_timeout {
+            0 => 1_000_000_000,
+            limit => limit,
+        }
+    }
+
     fn drop_moved(&mut self) {
         let endpoint = self.told.endpoint.get();
         for link in self.idle.extract_if(.., |l| l.endpoint != endpoint) {
@@ -151,8 +208,9 @@
         if link.endpoint != self.told.endpoint.get() {
             return link.end(CloseReason::Moved);
         }
-        // An idle pool must never use up what new dials need.
-        if self.waiting.is_empty() && self.shared.upstream.scarce() {
+        // An idle connection must not keep a descriptor that another peer waits for.
+        if self.waiting.is_empty() && self.shared.upstream.is_wanted() {
+            count(&self.shared.counters.evicted);
             return link.end(CloseReason::Evicted);
         }
         link.idle_since = self.shared.clock.now();
@@ -162,12 +220,12 @@
     /// One dial was begun for one that waits: without other dials it gets no connection.
     async fn dial_failed(&mut self, ending: Ending) {
         while self.waiting.len() > self.dialling {
-            let Some(job) = self.waiting.pop_front() else { return };
+            let Some((_, job)) = self.waiting.pop_front() else { return };
             self.unsent(job, ending).await;
         }
     }
 
-    async fn unsent(&self, job: Option<Attempt>, ending: Ending) {
+    async fn unsent(&self, job: Job, ending: Ending) {
         let message = match job {
             Some(a) => Message::Ended { request: a.request, attempt: a.number, ended: Ended::silent(ending) },
             None => Message::Probed { member: self.member.clone(), ended: Ended::silent(ending) },
@@ -178,12 +236,12 @@
 
     /// Gives idle connections to those that wait, and dials for the rest.
     async fn dispatch(&mut self, retire: u64) {
-        self.waiting.retain(|job| job.as_ref().is_none_or(|a| !a.given_up.is_closed()));
+        self.waiting.retain(|(_, job)| job.as_ref().is_none_or(|a| !a.given_up.is_closed()));
         let grace = self.shared.config.site.settings.rules.drain_grace as f64;
         let now = self.shared.clock.now();
         // The grace counts to the first byte: what waited for a connection meanwhile may be too late.
         if self.told.leaving.get().is_some_and(|t| now > t + (grace * DRAIN) as u64) {
-            while let Some(job) = self.waiting.pop_front() {
+            while let Some((_, job)) = self.waiting.pop_front() {
                 self.unsent(job, Ending::ConnectFailed).await;
             }
         }
@@ -192,14 +250,12 @@
             let Some(link) = self.idle.pop() else { break };
             if link.idle_since + retire < now || !link.is_open() {
                 link.end(CloseReason::Idle);
-            } else if let Some(job) = self.waiting.pop_front() {
+            } else if let Some((_, job)) = self.waiting.pop_front() {
                 self.begin(link, job);
             }
         }
         while self.dialling < self.waiting.len() {
-            let Some(slot) = self.shared.upstream.take() else {
-                return self.dial_failed(Ending::ConnectFailed).await;
-            };
+            let Some(slot) = self.shared.upstream.take() else { return self.shared.upstream.want() };
             self.dialling += 1;
             let (member, endpoint) = (self.member.clone(), self.told.endpoint.get());
             let (dial, news) = (Link::dial(self.shared.clone(), member, endpoint, slot), self.news.clone());
@@ -211,7 +267,7 @@
         }
     }
 
-    fn begin(&self, link: Link, job: Option<Attempt>) {
+    fn begin(&self, link: Link, job: Job) {
         let (shared, news, member) = (self.shared.clone(), self.news.clone(), self.member.clone());
         match job {
             Some(a) => self.executor.spawn(attempt(shared, news, link, a)).detach(),
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -39,6 +39,7 @@
     used: Cell<usize>,
     most: usize,
     freed: Event,
+    wanted: Event,
 }
 
 pub struct Slot(Rc<Slots>);
@@ -60,13 +61,22 @@
         self.used.get()
     }
 
-    /// More than three quarters are in use: nothing should be kept that could be closed.
-    pub fn scarce(&self) -> bool {
-        self.used.get() * 4 > self.most * 3
+    /// Somebody waits for a slot.
+    pub fn is_wanted(&self) -> bool {
+        self.freed.total_listeners() > 0
     }
 
-    pub fn freed(&self) -> event_listener::EventListener {
-        self.freed.listen()
+    /// Asks the holder that has listened longest to give its slot up.
+    pub fn want(&self) {
+        self.wanted.notify(1);
+    }
+
+    pub async fn wanted(&self) {
+        self.wanted.listen().await;
+    }
+
+    pub async fn freed(&self) {
+        self.freed.listen().await;
     }
 }
 
@@ -105,8 +115,6 @@
     /// Descriptors for clients and, apart from them, for instances.
     pub clients: Rc<Slots>,
     pub upstream: Rc<Slots>,
-    /// Wakes the client connection that has been idle longest, to close it.
-    pub evict: Event,
     /// The router knows instances to serve from.
     pub ready: Flag,
     /// SIGTERM has come.
@@ -129,7 +137,6 @@
             config,
             log,
             counters: Counters::default(),
-            evict: Event::new(),
             ready: Flag::default(),
             ending: Flag::default(),
             last_arrival: Cell::new(clock.now()),
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -332,6 +332,31 @@
     assert!(router.logged("reason: evicted") && router.counted("accept_errors=0"));
 }
 
+/// Guards the descriptors for instances: with more instances than descriptors the connections idle longest
+/// make room, no request fails for it, and an instance in use keeps its connection.
+#[test]
+fn more_instances_than_descriptors_are_reached_in_turn() {
+    let instances: Vec<Instance> = (0..12).map(|_| Instance::start("master", Act::Serve)).collect();
+    let listed = |(i, instance): (usize, &Instance)| {
+        let mut target = target(&format!("s-{i}"), instance.address, "ready");
+        target["pod_group"] = i.into();
+        target
+    };
+    let list: Vec<_> = instances.iter().enumerate().map(listed).collect();
+    let discovery = Discovery::start(Some(list.clone()));
+    // Nine descriptors are for instances.
+    let router = Router::start(&discovery, &list, 64);
+    let mut client = router.client();
+    for id in 0..36 {
+        let text = read(id, 5000).replace("cluster=2", &format!("cluster={}", id / 3));
+        assert_eq!(client.ask(&text).value, format!("{id:016x}"));
+    }
+    assert!(router.counted("connect_failed=0") && router.logged("reason: evicted"));
+    for instance in &instances {
+        assert_eq!(instance.seen.change(|s| s.connections), 1);
+    }
+}
+
 /// Guards a planned restart: what is being answered is answered, new clients are served, idle connections
 /// are closed, and then the router ends by itself.
 #[test]
