Share the descriptors between clients and instances, with clients first

Seen: with 96 descriptors two requests got no answer and no attempt, while 27 descriptors were free: the 33 for clients were all waiting for answers, and the requests lay in the backlog, where they count as taken. Cause: shared.rs split the descriptors into two fixed parts and kept 40 back, of which about 14 are needed. Now both sides draw on one budget, clients up to four fifths and instances up to two fifths; 24 are kept back. Ruled out: an effect at 1,024 descriptors, where at most about 130 have been in use.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -33,8 +33,9 @@
             if let Some(slot) = shared.clients.take() {
                 break slot;
             }
-            // Make room: the connection that has been idle longest goes; else one has to end by itself.
+            // Make room: the connections idle longest go, on both sides; else one has to end by itself.
             shared.clients.want();
+            shared.upstream.want();
             let pause = async {
                 Timer::after(Duration::from_millis(20)).await;
             };
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -33,27 +33,35 @@
     }
 }
 
-/// Descriptors in use on one side. A [`Slot`] holds one and gives it back when dropped.
-#[derive(Default)]
-pub struct Slots {
+/// The descriptors of both sides together.
+struct Budget {
     used: Cell<usize>,
     most: usize,
     freed: Event,
+}
+
+/// Descriptors in use on one side, which never takes more than its own part, nor what the budget lacks.
+/// A [`Slot`] holds one and gives it back when dropped.
+pub struct Slots {
+    budget: Rc<Budget>,
+    used: Cell<usize>,
+    most: usize,
     wanted: Event,
 }
 
 pub struct Slot(Rc<Slots>);
 
 impl Slots {
-    fn new(most: usize) -> Rc<Slots> {
-        Rc::new(Slots { most, ..Slots::default() })
+    fn new(budget: &Rc<Budget>, most: usize) -> Rc<Slots> {
+        Rc::new(Slots { budget: budget.clone(), used: Cell::new(0), most, wanted: Event::new() })
     }
 
     pub fn take(self: &Rc<Self>) -> Option<Slot> {
-        if self.used.get() >= self.most {
+        if self.used.get() >= self.most || self.budget.used.get() >= self.budget.most {
             return None;
         }
         self.used.set(self.used.get() + 1);
+        self.budget.used.set(self.budget.used.get() + 1);
         Some(Slot(self.clone()))
     }
 
@@ -63,7 +71,7 @@
 
     /// Somebody waits for a slot.
     pub fn is_wanted(&self) -> bool {
-        self.freed.total_listeners() > 0
+        self.budget.freed.total_listeners() > 0
     }
 
     /// Asks the holder that has listened longest to give its slot up.
@@ -76,14 +84,16 @@
     }
 
     pub async fn freed(&self) {
-        self.freed.listen().await;
+        self.budget.freed.listen().await;
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         self.0.used.set(self.0.used.get().saturating_sub(1));
-        self.0.freed.notify(1);
+        self.0.budget.used.set(self.0.budget.used.get().saturating_sub(1));
+        // Those who wait differ in what they may take: all look.
+        self.0.budget.freed.notify(usize::MAX);
     }
 }
 
@@ -112,7 +122,8 @@
     pub clock: Clock,
     pub log: Logger,
     pub counters: Counters,
-    /// Descriptors for clients and, apart from them, for instances.
+    /// Descriptors for clients and for instances. Clients come first: their part is the larger, since a request
+    /// in the backlog counts as taken.
     pub clients: Rc<Slots>,
     pub upstream: Rc<Slots>,
     /// The router knows instances to serve from.
@@ -125,15 +136,16 @@
 }
 
 /// Kept back for the listener, the reactor, the log, discovery and what a library may open.
-const SPARE: usize = 40;
+const SPARE: usize = 24;
 
 impl Shared {
     pub fn new(config: Config, log: Logger, decider: async_channel::Sender<Message>) -> Rc<Shared> {
-        let free = config.sockets - SPARE;
+        let most = config.sockets - SPARE;
+        let budget = Rc::new(Budget { used: Cell::new(0), most, freed: Event::new() });
         let clock = Clock::new();
         Rc::new(Shared {
-            clients: Slots::new(free * 3 / 5),
-            upstream: Slots::new(free * 2 / 5),
+            clients: Slots::new(&budget, most * 4 / 5),
+            upstream: Slots::new(&budget, most * 2 / 5),
             config,
             log,
             counters: Counters::default(),
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -336,7 +336,7 @@
 /// make room, no request fails for it, and an instance in use keeps its connection.
 #[test]
 fn more_instances_than_descriptors_are_reached_in_turn() {
-    let instances: Vec<Instance> = (0..12).map(|_| Instance::start("master", Act::Serve)).collect();
+    let instances: Vec<Instance> = (0..24).map(|_| Instance::start("master", Act::Serve)).collect();
     let listed = |(i, instance): (usize, &Instance)| {
         let mut target = target(&format!("s-{i}"), instance.address, "ready");
         target["pod_group"] = i.into();
@@ -344,10 +344,10 @@
     };
     let list: Vec<_> = instances.iter().enumerate().map(listed).collect();
     let discovery = Discovery::start(Some(list.clone()));
-    // Nine descriptors are for instances.
+    // At the least number that the router takes, sixteen are for instances.
     let router = Router::start(&discovery, &list, 64);
     let mut client = router.client();
-    for id in 0..36 {
+    for id in 0..72 {
         let text = read(id, 5000).replace("cluster=2", &format!("cluster={}", id / 3));
         assert_eq!(client.ask(&text).value, format!("{id:016x}"));
     }
