--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -152,14 +152,25 @@
            "state": state, "capacity_hint": 1.0, "boot_ms": 0})
 }
 
+/// How discovery answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    Proper,
+    /// Calls that may wait are answered at once, news or none.
+    Hasty,
+    /// In two chunks.
+    Chunked,
+    /// Without a length, closing the connection after it.
+    Closing,
+}
+
 pub struct Discovery {
     pub address: SocketAddr,
     /// The version and the whole list; none: calls fail.
     pub list: Watched<(u64, Option<Vec<Value>>)>,
     /// The paths asked for.
     pub calls: Watched<Vec<String>>,
-    /// Calls that may wait are answered at once, news or none.
-    pub hasty: Watched<bool>,
+    pub manner: Watched<Manner>,
 }
 
 impl Discovery {
@@ -167,22 +178,22 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (list, calls) = (Watched::new((1, list)), Watched::new(Vec::new()));
-        let hasty = Watched::new(false);
-        let (l, c, h) = (list.clone(), calls.clone(), hasty.clone());
+        let manner = Watched::new(Manner::Proper);
+        let (l, c, h) = (list.clone(), calls.clone(), manner.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (l, c, h) = (l.clone(), c.clone(), h.clone());
                 std::thread::spawn(move || Self::serve(stream, &l, &c, &h));
             }
         });
-        Discovery { address, list, calls, hasty }
+        Discovery { address, list, calls, manner }
     }
 
     fn serve(
         stream: TcpStream,
         list: &Watched<(u64, Option<Vec<Value>>)>,
         calls: &Watched<Vec<String>>,
-        hasty: &Watched<bool>,
+        manner: &Watched<Manner>,
     ) -> Option<()> {
         let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
         loop {
@@ -192,7 +203,8 @@
             let field = |name: &str| path.split(name).nth(1).and_then(|t| t.split('&').next()?.parse().ok());
             let since: u64 = field("since=").unwrap_or(0);
             let wait = Duration::from_millis(field("timeout_ms=").unwrap_or(0));
-            let hasty = hasty.change(|h| *h);
+            let manner = manner.change(|m| *m);
+            let hasty = manner == Manner::Hasty;
             list.wait_for(wait, |(rev, l)| (hasty || *rev > since || l.is_none()).then_some(()));
             let body = list.change(|(rev, l)| {
                 l.as_ref().map(|l| {
@@ -210,8 +222,20 @@
                 }
             };
             let text = answer.to_string();
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
-            (&stream).write_all((head + &text).as_bytes()).ok()?;
+            let (a, b) = text.split_at(text.len() / 2);
+            let rest = match manner {
+                Manner::Chunked => format!(
+                    "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n0\r\n\r\n",
+                    a.len(),
+                    b.len()
+                ),
+                Manner::Closing => format!("Connection: close\r\n\r\n{text}"),
+                _ => format!("Content-Length: {}\r\n\r\n{text}", text.len()),
+            };
+            (&stream).write_all(format!("HTTP/1.1 200 OK\r\n{rest}").as_bytes()).ok()?;
+            if manner == Manner::Closing {
+                return None;
+            }
         }
     }
 
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -244,6 +244,22 @@
     assert_eq!(client.answer().unwrap().tags, "IZ");
 }
 
+/// Guards the ways in which HTTP ends a body: a list is whole in each of them.
+#[rstest]
+#[case(Manner::Proper)]
+#[case(Manner::Chunked)]
+#[case(Manner::Closing)]
+fn a_list_is_read_however_its_body_ends(#[case] manner: Manner) {
+    let instance = Instance::start("master", Act::Serve);
+    let discovery = Discovery::start(None);
+    discovery.manner.change(|m| *m = manner);
+    discovery.publish(vec![target("s-1", instance.address, "ready")]);
+    let router = Router::start(&discovery, &[], 1024);
+    let mut client = router.client();
+    assert_eq!(client.ask("").tags, "IZ");
+    assert_eq!(client.ask(&read(1, 5000)).value, "0000000000000001");
+}
+
 /// Guards the drain rule and the watch: told through it, the router sends nothing more to one that drains.
 #[test]
 fn a_draining_instance_gets_nothing_new() {
@@ -296,7 +312,7 @@
 #[test]
 fn a_hasty_watch_is_not_followed_at_full_speed() {
     let (_instance, discovery, _router) = one(Act::Serve);
-    discovery.hasty.change(|h| *h = true);
+    discovery.manner.change(|m| *m = Manner::Hasty);
     discovery.list.change(|_| ());
     let nth = |n: usize| discovery.calls.wait_for(LIMIT, |c| (c.len() >= n).then(Instant::now)).unwrap();
     let (first, last) = (nth(4), nth(14));
