Read the configuration again on SIGHUP and turn to the discovery it names

Cause: main registered TERM, INT and USR1 only, so SIGHUP had its default action; and the roster read its address from the configuration of the start. Checked: the old discovery takes no new connection and closes the open ones after 1.5 s, so the call under way is dropped rather than waited for; versions of one service mean nothing to another, so the whole list is asked for. Ruled out: applying new settings while running. Classes and rules are known to requests that are open; the log names what waits for a restart. The three process tests fail on the program before this change.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,4 +1,5 @@
-//! The configuration: `RELAY_CONFIG`, overridden by the other variables.
+//! The configuration: `RELAY_CONFIG`, overridden by the other variables. Read again on SIGHUP, the file's
+//! `discovery` counts before the variable, which tells where discovery was when the process started.
 
 use crate::exchange::Listed;
 use crate::roster;
@@ -33,15 +34,44 @@
     /// The list as this router last had it: its version and entries.
     pub known: (Option<u64>, Vec<Listed>),
     pub site: Site,
+    /// The settings as they stand in the file.
+    settings: Value,
 }
 
 impl Config {
     pub fn load() -> Result<Config, ConfigError> {
+        Config::read(&Config::file()?, |name| std::env::var(name).ok())
+    }
+
+    /// The file as it is now, on top of this configuration.
+    pub fn reload(&self) -> Result<Config, ConfigError> {
+        let value = Config::file()?;
+        let discovery = match value.get("discovery") {
+            Some(named) => named.as_str().unwrap_or_default().to_owned(),
+            None => self.discovery.to_string(),
+        };
+        Config::read(&value, |name| match name {
+            "RELAY_DISCOVERY" => Some(discovery.clone()),
+            _ => std::env::var(name).ok(),
+        })
+    }
+
+    /// What differs in `new` and is read at the start only.
+    pub fn needs_restart(&self, new: &Config) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits.sockets", self.sockets != new.sockets),
+            ("settings", self.settings != new.settings),
+        ];
+        differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
+    }
+
+    fn file() -> Result<Value, ConfigError> {
         let path = std::env::var("RELAY_CONFIG").map_err(|_| ConfigError::NoPath)?;
         let text = std::fs::read_to_string(&path)
             .map_err(|source| ConfigError::Read { path: path.clone(), source })?;
-        let value = serde_json::from_str(&text).map_err(|source| ConfigError::Json { path, source })?;
-        Config::read(&value, |name| std::env::var(name).ok())
+        serde_json::from_str(&text).map_err(|source| ConfigError::Json { path, source })
     }
 
     fn read(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
@@ -51,8 +81,8 @@
         let address = |variable: &'static str, key: &str| {
             text(variable, key).and_then(|t| t.parse().ok()).ok_or(ConfigError::Address(variable))
         };
-        let site = reelrill_settings::read(value.get("settings").unwrap_or(&Value::Null))
-            .map_err(ConfigError::Settings)?;
+        let settings = value.get("settings").cloned().unwrap_or_default();
+        let site = reelrill_settings::read(&settings).map_err(ConfigError::Settings)?;
         let known = match value.get("known").filter(|k| !k.is_null()) {
             Some(known) => {
                 let list = roster::read_list(known, &site.zones)?;
@@ -70,6 +100,7 @@
             sockets: usize::try_from(sockets).unwrap_or(1024).max(64),
             known,
             site,
+            settings,
         })
     }
 }
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -39,7 +39,7 @@
     GivenUp,
     /// Idle for nearly as long as the instance allows.
     Idle,
-    /// The instance moved, or left the list.
+    /// The instance moved or left the list, or discovery moved.
     Moved,
     /// No answer from discovery in time.
     Silent,
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -14,12 +14,14 @@
 mod roster;
 mod shared;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt as _;
+use futures_lite::future::or;
 use shared::Shared;
-use slog::{Logger, error, info};
+use slog::{Logger, error, info, warn};
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -78,31 +80,56 @@
     let (decider, inbox) = async_channel::bounded(MAILBOX);
     let (calls, asked) = async_channel::bounded(4);
     let shared = Shared::new(config, log.clone(), decider);
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(StartError::Signals)?;
+    let (place, places) = async_channel::bounded(1);
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
+    let signals = signals.map_err(StartError::Signals)?;
     let decider = decider::Decider::new(shared.clone(), executor.clone(), calls)?;
     let listener = listener(address).map_err(|e| StartError::Listen(address, e))?;
     let bound = listener.get_ref().local_addr().unwrap_or(address);
     info!(log, "listening"; "address" => %bound, "instances" => shared.config.known.1.len());
     executor.spawn(decider.run(inbox)).detach();
-    executor.spawn(roster::run(shared.clone(), asked)).detach();
+    executor.spawn(roster::run(shared.clone(), asked, places)).detach();
     executor.spawn(client::listen(shared.clone(), executor.clone(), listener)).detach();
-    async_io::block_on(executor.run(until_ended(&shared, signals)));
+    async_io::block_on(executor.run(or(mind(&shared, signals, place), until_ended(&shared))));
     info!(log, "counters"; "all" => %shared.counters);
     Ok(())
 }
 
-/// Minds the signals until the router may end.
-async fn until_ended(shared: &Shared, mut signals: Signals) {
+/// Minds the signals, also while the router is ending.
+async fn mind(shared: &Shared, mut signals: Signals, place: Sender<SocketAddr>) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => info!(shared.log, "counters"; "all" => %shared.counters),
-            Ok(_) => break,
+            Ok(Signal::Hup) => reload(shared, &place).await,
+            Ok(_) => shared.ending.raise(),
             Err(e) => error!(shared.log, "signals"; "error" => %e),
         }
     }
+    futures_lite::future::pending().await
+}
+
+/// Reads the configuration again. A file that makes no sense changes nothing.
+async fn reload(shared: &Shared, place: &Sender<SocketAddr>) {
+    let new = match shared.config.reload() {
+        Ok(new) => new,
+        Err(e) => {
+            return error!(shared.log, "the new configuration is wrong, the old one stays"; "error" => %e);
+        }
+    };
+    info!(shared.log, "configuration read again"; "discovery" => %new.discovery);
+    let kept = shared.config.needs_restart(&new);
+    if !kept.is_empty() {
+        warn!(shared.log, "a change takes effect at the next start"; "of" => kept.join(", "));
+    }
+    // The roster ends last; without it there is nobody to tell.
+    let _ = place.send(new.discovery).await;
+}
+
+/// Waits for SIGTERM, and then until the router may end.
+async fn until_ended(shared: &Shared) {
+    shared.ending.wait().await;
     info!(shared.log, "ending");
     let began = shared.clock.now();
-    shared.ending.raise();
     // Clients keep coming for a while, by the listener and by the connections that they still hold.
     loop {
         Timer::after(Duration::from_millis(20)).await;
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -10,7 +10,7 @@
 use futures_lite::future::or;
 use reelrill::{Entry, ListKind, State};
 use serde_json::Value;
-use slog::{debug, o, warn};
+use slog::{debug, info, o, warn};
 use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -96,33 +96,54 @@
 
 struct Roster {
     shared: Rc<Shared>,
+    discovery: Cell<SocketAddr>,
     /// Taken out by a call while it runs, so that a call that is dropped half-way closes it.
     connection: Cell<Option<Connection>>,
     version: Cell<Option<u64>>,
 }
 
-/// Runs until the decider's end of `calls` is dropped.
-pub async fn run(shared: Rc<Shared>, calls: Receiver<Call>) {
-    let version = Cell::new(shared.config.known.0);
-    let roster = Roster { shared, connection: Cell::default(), version };
-    let mut watching = false;
+enum Next {
+    Answered(Result<List, ListError>),
+    Asked(Call),
+    /// The configuration names discovery here.
+    At(SocketAddr),
+    Ended,
+}
+
+/// Runs until the decider's end of `calls` is dropped. `places` brings the address of discovery whenever the
+/// configuration has been read again.
+pub async fn run(shared: Rc<Shared>, calls: Receiver<Call>, places: Receiver<SocketAddr>) {
+    let (discovery, version) = (Cell::new(shared.config.discovery), Cell::new(shared.config.known.0));
+    let roster = Roster { shared, discovery, connection: Cell::default(), version };
+    let (mut watching, mut call) = (false, None);
     loop {
-        let asked = async { Err(calls.recv().await) };
-        let next = if watching {
-            // The next call of a watch must follow at once: a later one would start a new watch.
-            or(asked, async { Ok(roster.watch().await) }).await
-        } else {
-            asked.await
+        let place = async {
+            match places.recv().await {
+                Ok(address) => Next::At(address),
+                Err(_) => futures_lite::future::pending().await,
+            }
         };
-        let answer = match next {
-            Ok(answer) => answer,
-            // Answered at once, changes or none: the brain waits for a word on its call.
-            Err(Ok(Call::Subscribe)) => roster.call(&roster.watch_path(NOW), NOW).await,
-            Err(Ok(Call::Fetch)) => roster.call("/api/targets", NOW).await,
-            Err(Err(_)) => return,
+        let asked = async { calls.recv().await.map_or(Next::Ended, Next::Asked) };
+        let next = match call.take() {
+            // A new address ends the call to the old one, which may hang or be about to close.
+            Some(call) => or(place, async { Next::Answered(roster.make(call).await) }).await,
+            // The next call of a watch must follow at once: a later one would start a new watch.
+            None if watching => or(place, or(asked, async { Next::Answered(roster.watch().await) })).await,
+            None => or(place, asked).await,
         };
-        watching = answer.is_ok();
-        roster.tell(answer).await;
+        match next {
+            Next::Answered(answer) => {
+                watching = answer.is_ok();
+                roster.tell(answer).await;
+            }
+            Next::Asked(asked) => call = Some(asked),
+            Next::At(address) => {
+                roster.turn_to(address);
+                // Asked at once, also if the address is the old one: a call to it may have ended here.
+                call = Some(Call::Subscribe);
+            }
+            Next::Ended => return,
+        }
     }
 }
 
@@ -132,6 +153,27 @@
 }
 
 impl Roster {
+    /// Another address is another service: versions of the old one mean nothing there, so the whole list is
+    /// asked for.
+    fn turn_to(&self, address: SocketAddr) {
+        if self.discovery.replace(address) == address {
+            return;
+        }
+        info!(self.shared.log, "discovery has moved"; "address" => %address);
+        self.version.set(None);
+        if let Some(kept) = self.connection.take() {
+            kept.end(CloseReason::Moved);
+        }
+    }
+
+    async fn make(&self, call: Call) -> Result<List, ListError> {
+        match call {
+            // Answered at once, changes or none: the brain waits for a word on its call.
+            Call::Subscribe => self.call(&self.watch_path(NOW), NOW).await,
+            Call::Fetch => self.call("/api/targets", NOW).await,
+        }
+    }
+
     fn watch_path(&self, wait: Duration) -> String {
         match self.version.get() {
             Some(v) => format!("/api/targets?since={v}&timeout_ms={}", wait.as_millis()),
@@ -158,7 +200,7 @@
             Some(kept) => kept,
             None => {
                 let log = self.shared.log.new(o!());
-                let open = async { Ok(Connection::open(self.shared.config.discovery, log).await?) };
+                let open = async { Ok(Connection::open(self.discovery.get(), log).await?) };
                 or(open, silent(SILENCE)).await?
             }
         };
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -162,6 +162,8 @@
     Chunked,
     /// Without a length, closing the connection after it.
     Closing,
+    /// Takes the call and says nothing.
+    Silent,
 }
 
 pub struct Discovery {
@@ -203,7 +205,7 @@
             let field = |name: &str| path.split(name).nth(1).and_then(|t| t.split('&').next()?.parse().ok());
             let since: u64 = field("since=").unwrap_or(0);
             let wait = Duration::from_millis(field("timeout_ms=").unwrap_or(0));
-            let manner = manner.change(|m| *m);
+            let manner = manner.wait_for(LIMIT, |m| (*m != Manner::Silent).then_some(*m))?;
             let hasty = manner == Manner::Hasty;
             list.wait_for(wait, |(rev, l)| (hasty || *rev > since || l.is_none()).then_some(()));
             let body = list.change(|(rev, l)| {
@@ -268,7 +270,8 @@
     child: Child,
     pub address: SocketAddr,
     pub log: Watched<Vec<String>>,
-    _dir: tempfile::TempDir,
+    config: Value,
+    dir: tempfile::TempDir,
 }
 
 impl Router {
@@ -287,7 +290,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_reelrill"))
             .env("RELAY_CONFIG", &path)
             .env_remove("RELAY_LISTEN")
-            .env_remove("RELAY_DISCOVERY")
+            .env("RELAY_DISCOVERY", discovery.address.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -303,7 +306,7 @@
             line.split("address: ").nth(1)?.split(',').next()?.parse().ok()
         };
         let address = log.wait_for(LIMIT, listening).expect("the router did not start");
-        Router { child, address, log, _dir: dir }
+        Router { child, address, log, config, dir }
     }
 
     pub fn signal(&self, name: &str) {
@@ -311,6 +314,16 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
+    /// Replaces a field of the configuration file and has the router read it again.
+    pub fn reload(&self, field: &str, value: Value) {
+        let mut config = self.config.clone();
+        config[field] = value;
+        let (new, path) = (self.dir.path().join("new.json"), self.dir.path().join("config.json"));
+        std::fs::write(&new, config.to_string()).unwrap();
+        std::fs::rename(new, path).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -319,6 +319,58 @@
     assert!(last - first >= Duration::from_millis(900), "{:?}", last - first);
 }
 
+/// Guards SIGHUP: the router turns to the discovery that the file names now, whatever the environment said at
+/// the start, and believes its whole list, though its versions are lower.
+#[test]
+fn a_new_configuration_moves_discovery() {
+    let (old, discovery, mut router) = one(Act::Serve);
+    discovery.publish(vec![target("s-1", old.address, "ready")]);
+    let watched =
+        |c: &mut Vec<String>| c.iter().any(|p| p.contains("since=2&timeout_ms=10000")).then_some(());
+    assert!(discovery.calls.wait_for(LIMIT, watched).is_some());
+    let moved = Instance::start("master", Act::Serve);
+    let next = Discovery::start(Some(vec![target("s-2", moved.address, "ready")]));
+    router.reload("discovery", next.address.to_string().into());
+    assert!(next.calls.wait_for(LIMIT, |c| (c.len() > 1).then_some(())).is_some());
+    assert_eq!(
+        next.calls.change(|c| c[..2].to_vec()),
+        ["/api/targets", "/api/targets?since=1&timeout_ms=10000"]
+    );
+    assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
+    assert_eq!(moved.seen.change(|s| s.queries.len()), 1);
+    // It comes again, also while the router is ending.
+    router.signal("TERM");
+    router.reload("discovery", discovery.address.to_string().into());
+    assert!(router.exit().success());
+}
+
+/// Guards against a discovery that was moved away from while it hangs: the new one is asked at once.
+#[test]
+fn a_call_that_hangs_does_not_hold_up_a_new_discovery() {
+    let (instance, _discovery, router) = one(Act::Serve);
+    let silent = Discovery::start(None);
+    silent.manner.change(|m| *m = Manner::Silent);
+    router.reload("discovery", silent.address.to_string().into());
+    assert!(silent.calls.wait_for(LIMIT, |c| (c.len() == 1).then_some(())).is_some());
+    let next = Discovery::start(Some(vec![target("s-1", instance.address, "ready")]));
+    router.reload("discovery", next.address.to_string().into());
+    assert!(next.calls.wait_for(LIMIT, |c| (!c.is_empty()).then_some(())).is_some());
+    let line = router.counters();
+    assert!(line.contains("list_failures=0"), "{line}");
+}
+
+/// Guards the old configuration against a file that makes no sense, and says what takes a restart.
+#[rstest]
+#[case("discovery", "nowhere", "RELAY_DISCOVERY is missing or is no address")]
+#[case("settings", "none", "familyInfo is missing")]
+#[case("name", "n7", "takes effect at the next start")]
+fn a_reload_says_what_it_did_not_take(#[case] field: &str, #[case] value: &str, #[case] wanted: &str) {
+    let (_instance, _discovery, router) = one(Act::Serve);
+    router.reload(field, value.into());
+    assert!(router.logged(wanted));
+    assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
+}
+
 /// Guards against a start on a configuration that makes no sense, without a word of what is wrong.
 #[rstest]
 #[case("{", "EOF")]
