Count spoilt answers as failed attempts that say nothing of a member's health

Cause, by reading: peer/mod.rs made Fault::Broken of an unreadable answer, so the brain got a Reset: the member rested 75 to 225 ms, and on its next answer Brain::answered took it for restarted, since 'behind' compared its usual lag (up to 200 ms) with half of an absence of a few ms. For 17 s it then admitted a quarter of its requests or less. Nothing on the sockets pointed to a restart. Waits for a descriptor and full mailboxes were reported as failed connects in the same way, blaming the member. Now: endings Spoilt (has run, no blame; three in a row without a good answer make a member a failed one), Unsent (the host had no means) and Rejected (the statement is at fault); an absence below the longest aim is no restart. A response is read strictly, message by message in its place; lengths are refused as announced; an answer that has begun and pauses 250 ms is spoilt; a connection with anything unasked is not used again, and is looked at once more right before a write. What follows a whole answer spoils the connection only. Ruled out: excluding the instance for such answers, since any instance gives them equally.

--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -33,7 +33,7 @@
     /// Final answers, by kind; clients that left first; answers that the brain left overdue.
     served, refused, failed, client_left, overdue,
     /// Attempts, by how they ended.
-    attempts, ok, errors, full, timed_out, connect_failed, reset, cancelled, moot, missed,
+    attempts, ok, errors, full, timed_out, connect_failed, reset, cancelled, moot, missed, spoilt, unsent, unfit,
     /// Connections to instances, probes, and calls to discovery.
     dials, dial_failures, probes, list_calls, list_failures,
 }
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -261,12 +261,12 @@
         }
         let until = limit.map_or(open.deadline, |l| open.deadline.min(now.saturating_add(l)));
         let attempt = Attempt { request, number, statement: open.statement.clone(), until, given_up };
-        let ordered = match self.peers.get(&member) {
-            Some(peer) => peer.orders.try_send(Order::Attempt(attempt)).is_ok(),
-            None => false,
+        let unordered = match self.peers.get(&member) {
+            Some(peer) => peer.orders.try_send(Order::Attempt(attempt)).err().map(|_| Ending::Unsent),
+            None => Some(Ending::ConnectFailed),
         };
-        if !ordered {
-            return self.resolve(request, number, Ended::silent(Ending::ConnectFailed));
+        if let Some(ending) = unordered {
+            return self.resolve(request, number, Ended::silent(ending));
         }
         if limit.is_some() {
             self.due.push(Reverse((until, Due::Limit(request, number))));
@@ -289,6 +289,9 @@
             Ending::Cancelled => &c.cancelled,
             Ending::Moot => &c.moot,
             Ending::Miss => &c.missed,
+            Ending::Spoilt => &c.spoilt,
+            Ending::Unsent => &c.unsent,
+            Ending::Rejected => &c.unfit,
         });
         let latency = self.shared.clock.now().saturating_sub(out.sent);
         debug!(self.shared.log, "attempt ended"; "request" => format_args!("{request:016x}"),
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -37,6 +37,8 @@
     TurnedAway,
     /// An attempt on it was given up.
     GivenUp,
+    /// An answer that can't be read, or bytes that belong to none.
+    Spoilt,
     /// Idle for nearly as long as the instance allows.
     Idle,
     /// The instance moved or left the list, or discovery moved.
@@ -66,6 +68,7 @@
             CloseReason::DialFailed => "dial_failed",
             CloseReason::TurnedAway => "turned_away",
             CloseReason::GivenUp => "given_up",
+            CloseReason::Spoilt => "spoilt",
             CloseReason::Idle => "idle",
             CloseReason::Moved => "moved",
             CloseReason::Silent => "silent",
--- a/router/src/peer/link.rs
+++ b/router/src/peer/link.rs
@@ -16,6 +16,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How long an answer that has begun may pause.
+const STALLED: Duration = Duration::from_millis(250);
+
 pub struct Link {
     shared: Rc<Shared>,
     stream: Async<TcpStream>,
@@ -38,10 +41,14 @@
 /// Why a query got no whole response.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// The connection failed before the last byte was written.
+    /// The connection had ended, or held bytes that nobody asked for, before anything was written.
+    Stale,
+    /// It failed before the last byte was written.
     NotWritten,
     /// It broke or ended after that.
     Broken,
+    /// What came back is no response: the query has run, and the connection is of no further use.
+    Spoilt,
 }
 
 /// All that came back for one query.
@@ -49,7 +56,6 @@
 pub struct Response {
     columns: Option<Vec<u8>>,
     row: Option<Vec<u8>>,
-    rows: u32,
     tag: Option<Vec<u8>>,
     code: Option<String>,
     pub standing: Standing,
@@ -58,11 +64,23 @@
     pub ready: bool,
 }
 
-/// How an ErrorResponse's code counts: by the table of the protocol.
+/// What a message means for the response that it belongs to.
+#[derive(Debug, PartialEq, Eq)]
+enum Step {
+    More,
+    Ready,
+    /// Nothing that may come here.
+    Stray,
+}
+
+/// How an ErrorResponse's code counts: by the table of the protocol, and by the classes of codes that blame
+/// the statement (data, syntax, protocol).
 pub fn ending_of(code: &str) -> Ending {
     match code {
         "25006" | "72000" => Ending::Miss,
         codec::TOO_MANY => Ending::Full,
+        codec::PROTOCOL_VIOLATION => Ending::Rejected,
+        _ if code.starts_with("22") || code.starts_with("42") => Ending::Rejected,
         _ => Ending::Error,
     }
 }
@@ -74,13 +92,42 @@
             return (ending_of(code), None);
         }
         match (self.columns, self.row, self.tag) {
-            (Some(columns), Some(row), Some(tag))
-                if self.rows == 1 && codec::single_value(&row).is_some() =>
-            {
-                (Ending::Served, Some(Answer { columns, row, tag }))
+            (Some(columns), Some(row), Some(tag)) => (Ending::Served, Some(Answer { columns, row, tag })),
+            _ => (Ending::Spoilt, None),
+        }
+    }
+
+    /// Nothing more is needed for its ending.
+    fn is_whole(&self) -> bool {
+        self.tag.is_some() || self.code.is_some()
+    }
+
+    /// Takes one message in its place: one description, one row of one column, one end; or one error before any
+    /// of these. Serving anything else would hand a client what no instance made for it.
+    fn take(&mut self, tag: u8, body: &[u8]) -> Step {
+        match tag {
+            b'T' if self.columns.is_none() && !self.is_whole() && codec::describes_one(body) => {
+                self.columns = Some(body.to_vec());
+            }
+            b'D' if self.columns.is_some() && self.row.is_none() && codec::single_value(body).is_some() => {
+                self.row = Some(body.to_vec());
+            }
+            b'C' if self.row.is_some() && !self.is_whole() && codec::is_text(body) => {
+                self.tag = Some(body.to_vec());
+            }
+            b'E' if self.columns.is_none() && !self.is_whole() => match codec::error_code(body) {
+                Some(code) => self.code = Some(code.to_owned()),
+                None => return Step::Stray,
+            },
+            b'S' => self.parameter(body),
+            b'N' => {}
+            b'Z' if self.is_whole() && body.len() == 1 => {
+                self.ready = true;
+                return Step::Ready;
             }
-            _ => (Ending::Error, None),
+            _ => return Step::Stray,
         }
+        Step::More
     }
 
     /// The one value as text: the report that a probe asks for.
@@ -203,44 +250,55 @@
     pub async fn query(&mut self, text: &[u8]) -> Result<Response, Fault> {
         let mut out = Vec::with_capacity(text.len() + 6);
         codec::put_query(&mut out, text);
+        // Looked at again right before the write: what came unasked would be taken for this query's answer.
+        if !self.is_open() {
+            self.reason = CloseReason::Spoilt;
+            return Err(Fault::Stale);
+        }
         if (&self.stream).write_all(&out).await.is_err() {
             self.reason = CloseReason::Reset;
             return Err(Fault::NotWritten);
         }
         let mut response = Response::default();
-        loop {
-            let (tag, len) = match codec::frame(self.buffer.bytes()) {
+        let fault = loop {
+            let step = match codec::answer_frame(self.buffer.bytes()) {
                 Ok(Some((tag, body, len))) => {
-                    match tag {
-                        b'T' => response.columns = Some(body.to_vec()),
-                        b'D' => (response.row, response.rows) = (Some(body.to_vec()), response.rows + 1),
-                        b'C' => response.tag = Some(body.to_vec()),
-                        b'E' => response.code = Some(codec::error_code(body).unwrap_or("XX000").to_owned()),
-                        b'S' => response.parameter(body),
-                        _ => {}
-                    }
-                    (tag, len)
+                    let step = response.take(tag, body);
+                    self.buffer.consume(len);
+                    step
                 }
-                Ok(None) => match self.buffer.fill(&self.stream).await {
+                Ok(None) => match self.more(&response).await {
                     Ok(n) if n > 0 => continue,
-                    got => {
-                        self.reason = if got.is_ok() { CloseReason::Eof } else { CloseReason::Reset };
-                        // A whole answer needs no ReadyForQuery; a fatal error has none.
-                        let whole = response.code.is_some() || response.tag.is_some();
-                        return if whole { Ok(response) } else { Err(Fault::Broken) };
-                    }
+                    Ok(_) => break (CloseReason::Eof, Fault::Broken),
+                    Err(e) if e.kind() == io::ErrorKind::TimedOut => Step::Stray,
+                    Err(_) => break (CloseReason::Reset, Fault::Broken),
                 },
-                Err(_) => {
-                    self.reason = CloseReason::Malformed;
-                    return Err(Fault::Broken);
-                }
+                Err(_) => Step::Stray,
             };
-            self.buffer.consume(len);
-            if tag == b'Z' {
-                response.ready = true;
-                return Ok(response);
+            match step {
+                Step::More => {}
+                Step::Ready => return Ok(response),
+                Step::Stray => break (CloseReason::Spoilt, Fault::Spoilt),
             }
-        }
+        };
+        self.reason = fault.0;
+        // A whole answer needs no ReadyForQuery, and a fatal error has none; what follows it spoils only the
+        // connection.
+        if response.is_whole() { Ok(response) } else { Err(fault.1) }
+    }
+
+    /// Reads more of a response. Once its first byte is there, the rest must not take long: an answer whose
+    /// length does not fit would otherwise hold its request until the client gives up.
+    async fn more(&mut self, so_far: &Response) -> io::Result<usize> {
+        let begun = !self.buffer.bytes().is_empty() || so_far.columns.is_some() || so_far.is_whole();
+        let stalled = async {
+            if !begun {
+                futures_lite::future::pending::<()>().await;
+            }
+            Timer::after(STALLED).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        or(self.buffer.fill(&self.stream), stalled).await
     }
 }
 
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -149,7 +149,7 @@
                 Next::Order(None) => {
                     // The instance has left the list: what still waits must not be sent to it.
                     while let Some((_, job)) = self.waiting.pop_front() {
-                        self.unsent(job, Ending::ConnectFailed).await;
+                        self.unsent(job, Ending::Unsent).await;
                     }
                     self.idle.drain(..).for_each(|l| l.end(CloseReason::Moved));
                     return;
@@ -170,7 +170,7 @@
                 Next::Late => {
                     // The one that has waited longest takes the first connection, so it is the first to give up.
                     if let Some((_, job)) = self.waiting.pop_front() {
-                        self.unsent(job, Ending::ConnectFailed).await;
+                        self.unsent(job, Ending::Unsent).await;
                     }
                 }
                 Next::Sweep => {
@@ -242,7 +242,7 @@
         // The grace counts to the first byte: what waited for a connection meanwhile may be too late.
         if self.told.leaving.get().is_some_and(|t| now > t + (grace * DRAIN) as u64) {
             while let Some((_, job)) = self.waiting.pop_front() {
-                self.unsent(job, Ending::ConnectFailed).await;
+                self.unsent(job, Ending::Unsent).await;
             }
         }
         while !self.waiting.is_empty() {
@@ -290,8 +290,10 @@
     };
     let Some(result) = or(async { Some(link.query(&text).await) }, given_up).await else { return };
     let ended = match result {
+        Err(Fault::Stale) => Ended::silent(Ending::Unsent),
         Err(Fault::NotWritten) => Ended::silent(Ending::ConnectFailed),
         Err(Fault::Broken) => Ended::silent(Ending::Reset),
+        Err(Fault::Spoilt) => Ended::silent(Ending::Spoilt),
         Ok(response) => {
             let (standing, report, ready) = (response.standing, response.report, response.ready);
             let (ending, answer) = response.ending();
--- a/router/src/pgwire/codec.rs
+++ b/router/src/pgwire/codec.rs
@@ -1,5 +1,9 @@
 //! Messages: their frames, the few that are read, and the few that are written.
 
+/// The largest row taken from an instance: one value, and what frames it.
+pub const LARGEST_ROW: usize = 64 * 1024 + 16;
+/// The largest message taken from one that is no row.
+pub const LARGEST_WORD: usize = 16 * 1024;
 /// The largest message taken: a value of 64 KiB in hexadecimal digits, and room for the statement.
 pub const LARGEST: usize = 160 * 1024;
 
@@ -37,6 +41,16 @@
     Ok(rest.get(4..len).map(|body| (tag, body, len + 1)))
 }
 
+/// The first message of an instance's answer. Only a row may be large, and its value has 64 KiB at most: a
+/// length beyond that is refused as it is announced.
+pub fn answer_frame(bytes: &[u8]) -> Result<Option<Frame<'_>>, FrameError> {
+    let most = if bytes.first() == Some(&b'D') { LARGEST_ROW } else { LARGEST_WORD };
+    match bytes.get(1..).map(|rest| length(rest, 4)) {
+        Some(Ok(Some(len))) if len > most => Err(FrameError::Oversized(len)),
+        _ => frame(bytes),
+    }
+}
+
 #[derive(Debug, PartialEq, Eq)]
 pub enum Startup {
     /// A session, and the minor version asked for.
@@ -129,17 +143,30 @@
     Some((std::str::from_utf8(&bytes[..end]).ok()?, &bytes[end + 1..]))
 }
 
-/// The code of an ErrorResponse.
+/// The code of an ErrorResponse that is whole: fields of text and the zero that ends them.
 pub fn error_code(body: &[u8]) -> Option<&str> {
-    let mut rest = body;
+    let (mut rest, mut code) = (body, None);
     while let Some((&field, after)) = rest.split_first().filter(|(f, _)| **f != 0) {
         let (value, next) = text(after)?;
         if field == b'C' {
-            return Some(value);
+            code = Some(value);
         }
         rest = next;
     }
-    None
+    let is_code = |c: &&str| c.len() == 5 && c.bytes().all(|b| b.is_ascii_digit() || b.is_ascii_uppercase());
+    code.filter(is_code).filter(|_| rest == [0])
+}
+
+/// Whether this is a RowDescription of exactly one column.
+pub fn describes_one(body: &[u8]) -> bool {
+    // After the name: table, attribute, type, size, modifier, format.
+    let column = body.strip_prefix(&[0, 1]).and_then(text);
+    column.is_some_and(|(_, rest)| rest.len() == 18)
+}
+
+/// Whether this is one text and nothing else.
+pub fn is_text(body: &[u8]) -> bool {
+    text(body).is_some_and(|(_, rest)| rest.is_empty())
 }
 
 /// The value of a DataRow of exactly one column that is not null.
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -75,6 +75,12 @@
     Silence,
     /// Closes after half a row.
     Break,
+    /// Says half a row, and then nothing.
+    Stall,
+    /// Says just this, and keeps the connection open.
+    Raw(&'static [u8]),
+    /// Serves, with this directly behind.
+    ServeAnd(&'static [u8]),
 }
 
 #[derive(Default)]
@@ -127,18 +133,23 @@
             let value = if act == Act::ServeLarge { id.repeat(4096) } else { id };
             let len = (value.len() as u32).to_be_bytes();
             let row = message(b'D', &[&[0, 1], &len[..], value.as_bytes()].concat());
+            let columns = message(b'T', &[&b"\0\x01data\0"[..], &[0; 18]].concat());
             let answer = match act {
                 Act::Code(code) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
-                Act::Break => row[..10].to_vec(),
-                _ => [message(b'T', b"\0\x01data\0"), row, message(b'C', b"SELECT 1\0")].concat(),
+                Act::Break | Act::Stall => [&columns[..], &row[..10]].concat(),
+                Act::Raw(bytes) => bytes.to_vec(),
+                _ => [columns, row, message(b'C', b"SELECT 1\0")].concat(),
             };
             stream.write_all(&answer).ok()?;
-            if act == Act::Break {
-                return None;
+            match act {
+                Act::Break => return None,
+                Act::Stall | Act::Raw(_) => continue,
+                _ => {}
             }
             let status = message(b'S', format!("part\0{role}\0").as_bytes());
             let position = message(b'S', format!("caught_up_to\0{now}\0").as_bytes());
-            stream.write_all(&[status, position, message(b'Z', b"I")].concat()).ok()?;
+            let extra = if let Act::ServeAnd(extra) = act { extra } else { b"" };
+            stream.write_all(&[&status, &position, &message(b'Z', b"I")[..], extra].concat()).ok()?;
             if act == Act::ServeAndClose {
                 return None;
             }
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -65,20 +65,46 @@
 #[case(Act::Code("25006"), "missed")]
 #[case(Act::Code("72000"), "missed")]
 #[case(Act::Break, "reset")]
+#[case(Act::Code("08P01"), "unfit")]
+#[case(Act::Code("nonsense"), "spoilt")]
+#[case(Act::Stall, "spoilt")]
+#[case(Act::Raw(b"noise without end"), "spoilt")]
+#[case(Act::Raw(b"D\xc0\0\0\0\0\x01\xbf\xff\xff\xf6aaaa"), "spoilt")]
+#[case(Act::Raw(b"D\0\x01\x01\0"), "spoilt")]
+#[case(Act::Raw(b"D\0\0\0\x0b\0\x01\0\0\0\x01a"), "spoilt")]
+#[case(Act::Raw(b"C\0\0\0\x0dSELECT 1\0Z\0\0\0\x05I"), "spoilt")]
 #[case(Act::Silence, "timed_out")]
 fn what_comes_back_becomes_its_outcome(#[case] act: Act, #[case] kind: &str) {
     let (_instance, _discovery, router) = one(act);
+    let began = Instant::now();
     // A silent instance is given 2 s; from the others an outcome comes long before the end.
     let answer = router.client().ask(&read(1, 2000));
     assert!(["53300", "58000"].contains(&&*answer.code), "{answer:?}");
+    // An answer that can't be read is known for one long before the client gives up.
+    assert!(kind != "spoilt" || began.elapsed() < Duration::from_millis(1500));
     let line = router.counters();
     assert!(!line.contains(&format!(" {kind}=0 ")), "{line}");
-    for other in ["errors", "full", "missed", "reset", "timed_out", "connect_failed"] {
+    for other in ["errors", "full", "missed", "reset", "timed_out", "connect_failed", "spoilt", "unfit"] {
         // Further tries may have been made, but none may have ended in another way.
         assert!(other == kind || line.contains(&format!(" {other}=0 ")), "{other}: {line}");
     }
 }
 
+/// Guards the next request against what an instance says behind an answer: a second copy would be served as its
+/// value, a report that can't be read would be believed.
+#[rstest]
+#[case(b"T\0\0\0\x1d\0\x01data\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0D\0\0\0\x0b\0\x01\0\0\0\x01aC\0\0\0\x0dSELECT 1\0Z\0\0\0\x05I")]
+#[case(b"noise")]
+#[case(b"S\0\0\0\x0agauges")]
+fn what_comes_behind_an_answer_reaches_nobody(#[case] extra: &'static [u8]) {
+    let (instance, _discovery, router) = one(Act::ServeAnd(extra));
+    let mut client = router.client();
+    for id in 1..=5 {
+        assert_eq!(client.ask(&read(id, 5000)).value, format!("{id:016x}"));
+    }
+    assert_eq!(instance.seen.change(|s| (s.connections, s.queries.len())), (5, 5));
+}
+
 /// Guards against holding what was given up on, and against answers after the client has stopped waiting.
 #[test]
 fn a_silent_instance_is_given_up_before_the_client_gives_up() {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,6 +25,8 @@
 /// Further attempts that may have cost work, as a share of requests, and the reserve of them.
 const EXTRA: f64 = 0.15;
 const RESERVE: f64 = 20.0;
+/// Spoilt answers in a row, without a good one, that make a member a failed one.
+const SPOILT: u32 = 3;
 /// Mean latency, in aims, at which refusals begin, and at which all are refused.
 const SHED: (f64, f64) = (1.2, 2.1);
 
@@ -84,6 +86,7 @@
     /// Times since its last answer that it was full, and that it was out of reach.
     fulls: u32,
     away: u32,
+    spoilt: u32,
     away_since: Time,
     /// Trial reads since its last answer.
     trials: u32,
@@ -372,8 +375,10 @@
     fn answered(&mut self, now: Time, m: usize) {
         let x = &mut self.members[m];
         // Back from out of reach: had its process died, its log would have stood still. The list tells of the
-        // restart seconds later, when all proxies together have long pushed the cold one over.
-        let behind = x.position.unwrap_or(0).saturating_add(now.saturating_sub(x.away_since) / 2) < now;
+        // restart seconds later, when all proxies together have long pushed the cold one over. After a moment
+        // out of reach nothing is known: the usual lag is longer, and a warm member taken for a cold one is lost.
+        let gone = now.saturating_sub(x.away_since);
+        let behind = gone > self.max_aim as Span && x.position.unwrap_or(0).saturating_add(gone / 2) < now;
         if x.away > 0 && behind && x.role != Some(Role::Primary) {
             x.started = x.started.max(now);
         }
@@ -381,7 +386,7 @@
             self.groups.entry(x.group).or_default().found = now;
         }
         x.answered = now;
-        (x.down, x.trials, x.fulls, x.away) = (false, 0, 0, 0);
+        (x.down, x.trials, x.fulls, x.away, x.spoilt) = (false, 0, 0, 0, 0);
     }
 
     fn learn(&mut self, now: Time, m: usize, s: Standing, direct: bool) {
@@ -792,6 +797,7 @@
         self.learn(now, m, o.report, false);
         self.learn(now, m, standing, true);
         let took = o.latency as f64;
+        self.members[m].spoilt += u32::from(o.ending == Ending::Spoilt);
         match o.ending {
             Ending::Served => {
                 self.members[m].overtaking = self.members[m].overtaking.max(a.sent);
@@ -799,7 +805,9 @@
                 self.crowded(now, m, took, true);
                 self.answered(now, m);
             }
-            Ending::Miss => self.answered(now, m),
+            Ending::Miss | Ending::Rejected => self.answered(now, m),
+            // Any member's answer may be spoilt on its way, so one tells nothing of its health.
+            Ending::Spoilt if self.members[m].spoilt < SPOILT => {}
             // Full or draining: no sample of its cost, but a rest that grows as it repeats, and crowding:
             // with all queues full nothing is answered in time, and no latency would tell.
             Ending::Full => {
@@ -809,7 +817,7 @@
                 self.crowded(now, m, FAR * a.aim, false);
             }
             Ending::Error if a.write && standing.role == Some(Role::Replica) => self.answered(now, m),
-            Ending::Error => {
+            Ending::Error | Ending::Spoilt => {
                 // A quick error must not look cheap: it counts as an answer far beyond the aim.
                 self.answered(now, m);
                 self.observe(now, m, took.max(FAR * a.aim), a.aim);
@@ -835,12 +843,17 @@
                 let pause = (self.min_aim / 4.0 * f64::from(1u32 << x.away)).min(TRIAL as f64);
                 x.rest_until = now + (pause * draw) as Span;
             }
-            Ending::Moot => {}
+            Ending::Moot | Ending::Unsent => {}
         }
     }
 
     /// An attempt has failed and no other is out: another one, or the final answer.
     fn again(&mut self, now: Time, id: RequestId, mut p: Pending, ending: Ending, out: &mut Vec<Action>) {
+        if ending == Ending::Rejected {
+            out.push(Action::Fail { request: id });
+            self.pending.insert(id, p);
+            return self.close(id, out);
+        }
         let class = self.class(&p);
         let allowed = match class.repeat {
             Repeat::Safe => ending != Ending::TimedOut || now < p.aim_end,
@@ -852,7 +865,8 @@
         }
         // What never ran cost nothing; other further attempts share one small budget, so that retries
         // can't feed an overload.
-        let price = if matches!(ending, Ending::Miss | Ending::ConnectFailed) { 0.0 } else { 1.0 };
+        let price =
+            if matches!(ending, Ending::Miss | Ending::ConnectFailed | Ending::Unsent) { 0.0 } else { 1.0 };
         if !allowed || self.budget < price || ending == Ending::Moot {
             return self.give_up(p, out);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -326,12 +326,26 @@
     Moot,
     /// Turned away untouched: not the primary, or too far behind.
     Miss,
+    /// An answer came that can't be read; it has run.
+    Spoilt,
+    /// The host had no means of sending it in time: it says nothing of the member.
+    Unsent,
+    /// The member takes the request for none, as any other would.
+    Rejected,
 }
 
 impl Ending {
     /// Whether this ending proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::Moot | Ending::Miss)
+        matches!(
+            self,
+            Ending::Full
+                | Ending::ConnectFailed
+                | Ending::Moot
+                | Ending::Miss
+                | Ending::Unsent
+                | Ending::Rejected
+        )
     }
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -366,3 +366,48 @@
     out.extend(h.wait(2000 * MS));
     assert!(failed(&out) && sent(&out).is_none(), "{out:?}");
 }
+
+/// Guards a member's health against answers that are spoilt on their way: one says nothing of it, only three
+/// without a good one between them do. A request that may be repeated goes on to another member.
+#[test]
+fn a_spoilt_answer_costs_its_member_nothing_until_nothing_else_comes() {
+    let mut h = Host::new(settings());
+    h.warm_up();
+    let spoil = |h: &mut Host, wanted: &str| loop {
+        let (id, out) = h.request(BOUNDED);
+        let to = sent(&out).unwrap().to_string();
+        let (n, to) = if to == wanted {
+            let out = h.outcome(id, &to, 0, Ending::Spoilt, Standing::default());
+            (1, sent(&out).expect("another attempt").to_string())
+        } else {
+            (0, to)
+        };
+        h.outcome(id, &to, n, Ending::Served, replica(h.now));
+        if n == 1 {
+            return;
+        }
+    };
+    let share = |h: &mut Host| (0..12).filter(|_| h.serve(SESSION, h.now) == "b").count();
+    spoil(&mut h, "b");
+    assert_eq!(share(&mut h), 6);
+    for _ in 0..3 {
+        spoil(&mut h, "b");
+    }
+    assert_eq!(share(&mut h), 0);
+}
+
+/// Guards a warm member against being taken for one that has restarted: one broken connection, and a log as far
+/// behind as ever, are no sign of a cold start, which would cost it most of its reads for many seconds.
+#[test]
+fn a_broken_connection_does_not_make_a_member_cold() {
+    let mut h = Host::new(settings());
+    h.warm_up();
+    let (id, out) = h.request(BOUNDED);
+    let to = sent(&out).unwrap().to_string();
+    let out = h.outcome(id, &to, 0, Ending::Reset, Standing::default());
+    let other = sent(&out).unwrap().to_string();
+    h.outcome(id, &other, 1, Ending::Served, replica(h.now));
+    h.wait(350 * MS);
+    let got: Vec<String> = (0..24).map(|_| h.serve(SESSION, h.now - 200 * MS)).collect();
+    assert_eq!(got.iter().filter(|m| **m == to).count(), 12, "{got:?}");
+}
