Keep descriptors for clients and instances apart, and let useless connections go first

Now: two quotas (11/20 clients, 9/20 instances); what has asked nothing or stalled gives way first and ends after 2 s, idle ones after half a second without use; room is made ahead of need; lengths other than a query's are refused above 16 KiB; a fatal error is followed by a half-close and a paced discard; extended commands are skipped without a wait of their own that had no limit.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -6,23 +6,36 @@
 use crate::log::CloseReason;
 use crate::pgwire::codec::{self, FrameError, Startup};
 use crate::pgwire::comment::Comment;
-use crate::shared::{Shared, Slot};
+use crate::shared::{Holder, Shared, Slot};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt as _;
 use futures_lite::future::or;
 use reelrill::{Need, RequestId, Time};
 use slog::{info, warn};
-use std::net::{TcpListener, TcpStream};
+use std::io::Read as _;
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a client may take over its startup, and over the rest of a message that it has begun.
-const STARTUP: Duration = Duration::from_secs(10);
+/// How long a client may take from connecting to the end of its first command, and from the first byte of any
+/// other command to its last.
+const FIRST: Duration = Duration::from_secs(2);
+/// A connection that has asked nothing yet gives way to another only after this time: a request of the usual kind
+/// comes right behind the startup.
+const GRACE: Duration = Duration::from_millis(100);
+/// An idle connection gives way after this time: one in steady use is worth more than a new one.
+const IDLE: Duration = Duration::from_millis(500);
 /// A client that does not read its answer for this long has lost it.
 const WRITING: Duration = Duration::from_secs(5);
+/// How long the rest of what a client sends is thrown away after its last answer.
+const LINGER: Duration = Duration::from_secs(4);
+/// The pause after each piece thrown away: at full speed a client would use up the processor's share of others.
+const PACE: Duration = Duration::from_millis(3);
 /// While the router is ending, how long a new connection may take to send its first request.
 const FIRST_REQUEST: Duration = Duration::from_millis(400);
+/// What a client may send ahead while it waits for an answer.
+const AHEAD: usize = 16 * 1024;
 /// The longest wait that a client may ask for, an hour: beyond it the figure is an error.
 const LONGEST_WAIT_MS: u64 = 3_600_000;
 
@@ -33,9 +46,8 @@
             if let Some(slot) = shared.clients.take() {
                 break slot;
             }
-            // Make room: the connections idle longest go, on both sides; else one has to end by itself.
+            // Make room: a connection of no use goes, or the one idle longest; else one has to end by itself.
             shared.clients.want();
-            shared.upstream.want();
             let pause = async {
                 Timer::after(Duration::from_millis(20)).await;
             };
@@ -46,6 +58,10 @@
                 count(&shared.counters.clients);
                 shared.last_arrival.set(shared.clock.now());
                 executor.spawn(serve(shared.clone(), stream, slot)).detach();
+                if shared.clients.is_short() {
+                    // Ahead of the need: the next one must not wait in the backlog for room to be made.
+                    shared.clients.want();
+                }
             }
             Err(e) => {
                 // Out of descriptors, or the client has gone meanwhile: neither may spin or end the router.
@@ -59,20 +75,25 @@
 
 async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>, _slot: Slot) {
     let _ = stream.get_ref().set_nodelay(true);
+    let accepted = shared.clock.now();
+    let buffer = Buffer::default();
     let mut client =
-        Client { shared: shared.clone(), stream, buffer: Buffer::default(), is_new: true, begun: None };
+        Client { shared, stream, buffer, accepted, is_new: true, begun: None, is_skipping: false };
     let reason = client.session().await.err().unwrap_or(CloseReason::Terminate);
-    info!(shared.log, "connection ended"; "with" => "client", "reason" => reason.code());
+    info!(client.shared.log, "connection ended"; "with" => "client", "reason" => reason.code());
 }
 
 struct Client {
     shared: Rc<Shared>,
     stream: Async<TcpStream>,
     buffer: Buffer,
-    /// No request has come yet.
+    accepted: Time,
+    /// No command has come yet.
     is_new: bool,
     /// When a part of a message came whose rest has not.
     begun: Option<Time>,
+    /// Extended commands are passed over up to the Sync that ends them.
+    is_skipping: bool,
 }
 
 /// What a client waits for, or that it has gone.
@@ -84,13 +105,9 @@
 impl Client {
     /// Serves the connection to its end. `Ok` is a client that said goodbye.
     async fn session(&mut self) -> Result<(), CloseReason> {
-        let late = async {
-            Timer::after(STARTUP).await;
-            Err(CloseReason::StartupTimeout)
-        };
-        or(self.startup(), late).await?;
+        self.startup().await?;
         loop {
-            let (tag, body, len) = match codec::frame(self.buffer.bytes()) {
+            let (tag, body, len) = match codec::command(self.buffer.bytes()) {
                 Ok(Some(message)) => {
                     self.begun = None;
                     message
@@ -107,7 +124,10 @@
                         codec::text(body).filter(|(_, rest)| rest.is_empty()).map(|(t, _)| t.to_owned());
                     self.buffer.consume(len);
                     match text {
-                        Some(text) => self.on_query(&text).await?,
+                        Some(text) => {
+                            self.is_skipping = false;
+                            self.on_query(&text).await?;
+                        }
                         None => return Err(self.fatal("a query that is no text").await),
                     }
                 }
@@ -115,13 +135,16 @@
                 // A client that has pipelined other commands gets its error at the Sync that ends them.
                 b'S' => {
                     self.buffer.consume(len);
+                    self.is_skipping = false;
                     let mut out = Vec::new();
                     codec::put_ready(&mut out);
                     self.write(&out).await?;
                 }
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
                     self.buffer.consume(len);
-                    self.on_unsupported(tag).await?;
+                    if !std::mem::replace(&mut self.is_skipping, true) {
+                        self.on_unsupported(tag).await?;
+                    }
                 }
                 _ => return Err(self.fatal("an unknown message").await),
             }
@@ -133,7 +156,7 @@
             let (kind, len) = match codec::startup(self.buffer.bytes()) {
                 Ok(Some(message)) => message,
                 Ok(None) => {
-                    self.fill().await?;
+                    self.next().await?;
                     continue;
                 }
                 Err(e) => return Err(self.broken_frame(&e).await),
@@ -152,11 +175,6 @@
         }
     }
 
-    async fn fill(&mut self) -> Result<(), CloseReason> {
-        let read = self.buffer.fill(&self.stream).await;
-        self.gone(&read).map_or(Ok(()), Err)
-    }
-
     /// Why a read has ended the connection, if it has.
     fn gone(&self, read: &std::io::Result<usize>) -> Option<CloseReason> {
         match read {
@@ -170,22 +188,32 @@
     /// Waits for more of the next message. Between messages the router may close the connection, but only
     /// after a look at what has come: a request that was read is answered.
     async fn next(&mut self) -> Result<(), CloseReason> {
-        if !self.buffer.bytes().is_empty() {
-            // A message that has stalled, or drips in, must not hold a slot for ever.
-            let begun = *self.begun.get_or_insert_with(|| self.shared.clock.now());
-            let end = self.shared.clock.instant(begun) + STARTUP;
-            let late = async {
-                Timer::at(end).await;
-                Err(CloseReason::Stalled)
-            };
-            return or(self.fill(), late).await;
-        }
+        let shared = self.shared.clone();
+        let is_between = self.buffer.bytes().is_empty();
+        // A message that has stalled or drips in, or a connection that says nothing, must not hold a slot.
+        let now = shared.clock.now();
+        let (holder, since, limit) = match (self.is_new, is_between) {
+            (true, _) => (Holder::Useless, self.accepted, Some(CloseReason::StartupTimeout)),
+            (false, true) => (Holder::Idle, now, None),
+            (false, false) => (Holder::Useless, *self.begun.get_or_insert(now), Some(CloseReason::Stalled)),
+        };
+        let since = shared.clock.instant(since);
+        let late = async {
+            match limit {
+                Some(reason) => {
+                    Timer::at(since + FIRST).await;
+                    Waited::Done(reason)
+                }
+                None => futures_lite::future::pending().await,
+            }
+        };
         let evicted = async {
-            self.shared.clients.wanted().await;
+            Timer::at(since + if holder == Holder::Idle { IDLE } else { GRACE }).await;
+            shared.clients.wanted(holder).await;
             Waited::Done(CloseReason::Evicted)
         };
         let ending = async {
-            self.shared.ending.wait().await;
+            shared.ending.wait().await;
             if self.is_new {
                 // Its client would meet the same on any further connection, and lose its first request.
                 Timer::after(FIRST_REQUEST).await;
@@ -193,11 +221,11 @@
             Waited::Done(CloseReason::Shutdown)
         };
         let read = async { Waited::Read(self.buffer.fill(&self.stream).await) };
-        match or(read, or(ending, evicted)).await {
+        match or(read, or(late, or(ending, evicted))).await {
             Waited::Read(read) => self.gone(&read).map_or(Ok(()), Err),
             Waited::Done(reason) => {
                 if reason == CloseReason::Evicted {
-                    count(&self.shared.counters.evicted);
+                    count(&shared.counters.evicted);
                 }
                 Err(reason)
             }
@@ -283,11 +311,11 @@
     async fn attend<T>(&mut self, what: impl Future<Output = T>) -> Result<T, CloseReason> {
         let mut what = std::pin::pin!(what);
         loop {
-            if matches!(codec::frame(self.buffer.bytes()), Ok(Some((b'X', ..)))) {
+            if matches!(codec::command(self.buffer.bytes()), Ok(Some((b'X', ..)))) {
                 return Err(CloseReason::LeftWaiting);
             }
-            // What is pipelined stays in the buffer, up to one message of the largest size.
-            let full = self.buffer.bytes().len() > codec::LARGEST;
+            // What is pipelined stays in the buffer, which must not grow without an end.
+            let full = self.buffer.bytes().len() >= AHEAD;
             let read = async {
                 if full {
                     futures_lite::future::pending::<()>().await;
@@ -309,15 +337,7 @@
         let mut out = Vec::new();
         let why = format!("message '{}' is not supported: use simple queries", char::from(tag));
         codec::put_error(&mut out, false, codec::UNSUPPORTED, &why, None);
-        self.write(&out).await?;
-        loop {
-            match codec::frame(self.buffer.bytes()) {
-                Ok(Some((b'S' | b'X' | b'Q', ..))) => return Ok(()),
-                Ok(Some((_, _, len))) => self.buffer.consume(len),
-                Ok(None) => self.fill().await?,
-                Err(e) => return Err(self.broken_frame(&e).await),
-            }
-        }
+        self.write(&out).await
     }
 
     async fn broken_frame(&mut self, e: &FrameError) -> CloseReason {
@@ -333,11 +353,36 @@
         count(&self.shared.counters.rejected);
         let mut out = Vec::new();
         codec::put_error(&mut out, true, codec::PROTOCOL_VIOLATION, why, None);
-        // The connection ends here in any case.
-        let _ = self.write(&out).await;
+        if self.write(&out).await.is_ok() {
+            self.linger().await;
+        }
         CloseReason::Malformed
     }
 
+    /// Closes our side and throws away what still comes: to close with bytes unread would reset the connection,
+    /// and the error might not arrive. Nothing is stored, and others get their turn after each piece.
+    async fn linger(&mut self) {
+        self.buffer = Buffer::default();
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let shared = &self.shared;
+        let discard = async {
+            let read = |mut s: &TcpStream| s.read(&mut shared.scratch.borrow_mut());
+            while self.stream.read_with(read).await.is_ok_and(|n| n > 0) {
+                Timer::after(PACE).await;
+            }
+        };
+        let late = async {
+            Timer::after(LINGER).await;
+        };
+        let evicted = async {
+            Timer::after(GRACE).await;
+            shared.clients.wanted(Holder::Useless).await;
+        };
+        or(discard, or(late, evicted)).await;
+    }
+
     async fn write(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
         let late = async {
             Timer::after(WRITING).await;
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -15,7 +15,7 @@
     Terminate,
     /// The client left before its answer.
     LeftWaiting,
-    /// The startup message did not come in time.
+    /// No whole request came in time.
     StartupTimeout,
     /// The rest of a message did not come.
     Stalled,
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -5,7 +5,7 @@
 use crate::counters::count;
 use crate::exchange::{Attempt, Ended, Message};
 use crate::log::CloseReason;
-use crate::shared::Shared;
+use crate::shared::{Holder, Shared};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -122,7 +122,7 @@
                 if self.idle.is_empty() {
                     futures_lite::future::pending::<()>().await;
                 }
-                self.shared.upstream.wanted().await;
+                self.shared.upstream.wanted(Holder::Idle).await;
                 Next::Spare
             };
             // Only what has no dial of its own waits for a descriptor.
--- a/router/src/pgwire/codec.rs
+++ b/router/src/pgwire/codec.rs
@@ -2,7 +2,7 @@
 
 /// The largest row taken from an instance: one value, and what frames it.
 pub const LARGEST_ROW: usize = 64 * 1024 + 16;
-/// The largest message taken from one that is no row.
+/// The largest message that is neither a row nor a query.
 pub const LARGEST_WORD: usize = 16 * 1024;
 /// The largest message taken: a value of 64 KiB in hexadecimal digits, and room for the statement.
 pub const LARGEST: usize = 160 * 1024;
@@ -41,16 +41,25 @@
     Ok(rest.get(4..len).map(|body| (tag, body, len + 1)))
 }
 
-/// The first message of an instance's answer. Only a row may be large, and its value has 64 KiB at most: a
-/// length beyond that is refused as it is announced.
-pub fn answer_frame(bytes: &[u8]) -> Result<Option<Frame<'_>>, FrameError> {
-    let most = if bytes.first() == Some(&b'D') { LARGEST_ROW } else { LARGEST_WORD };
+/// The first message of a client. Only a query may be large.
+pub fn command(bytes: &[u8]) -> Result<Option<Frame<'_>>, FrameError> {
+    frame_within(bytes, if bytes.first() == Some(&b'Q') { LARGEST } else { LARGEST_WORD })
+}
+
+fn frame_within(bytes: &[u8], most: usize) -> Result<Option<Frame<'_>>, FrameError> {
     match bytes.get(1..).map(|rest| length(rest, 4)) {
         Some(Ok(Some(len))) if len > most => Err(FrameError::Oversized(len)),
         _ => frame(bytes),
     }
 }
 
+/// The first message of an instance's answer. Only a row may be large, and its value has 64 KiB at most: a
+/// length beyond that is refused as it is announced.
+pub fn answer_frame(bytes: &[u8]) -> Result<Option<Frame<'_>>, FrameError> {
+    let most = if bytes.first() == Some(&b'D') { LARGEST_ROW } else { LARGEST_WORD };
+    frame_within(bytes, most)
+}
+
 #[derive(Debug, PartialEq, Eq)]
 pub enum Startup {
     /// A session, and the minor version asked for.
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -3,10 +3,10 @@
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::exchange::Message;
-use event_listener::Event;
+use event_listener::{Event, IntoNotification as _};
 use reelrill::Time;
 use slog::Logger;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -33,35 +33,38 @@
     }
 }
 
-/// The descriptors of both sides together.
-struct Budget {
-    used: Cell<usize>,
-    most: usize,
-    freed: Event,
-}
-
-/// Descriptors in use on one side, which never takes more than its own part, nor what the budget lacks.
-/// A [`Slot`] holds one and gives it back when dropped.
+/// The descriptors of one side. A [`Slot`] holds one and gives it back when dropped.
 pub struct Slots {
-    budget: Rc<Budget>,
     used: Cell<usize>,
     most: usize,
-    wanted: Event,
+    freed: Event,
+    /// Holders that could go, by what they are.
+    useless: Event,
+    idle: Event,
 }
 
 pub struct Slot(Rc<Slots>);
 
+/// What somebody holds a slot for that others want.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holder {
+    /// A connection that has never asked anything, has stalled, or is being closed: it goes first.
+    Useless,
+    /// A connection between requests.
+    Idle,
+}
+
 impl Slots {
-    fn new(budget: &Rc<Budget>, most: usize) -> Rc<Slots> {
-        Rc::new(Slots { budget: budget.clone(), used: Cell::new(0), most, wanted: Event::new() })
+    fn new(most: usize) -> Rc<Slots> {
+        let (freed, useless, idle) = (Event::new(), Event::new(), Event::new());
+        Rc::new(Slots { used: Cell::new(0), most, freed, useless, idle })
     }
 
     pub fn take(self: &Rc<Self>) -> Option<Slot> {
-        if self.used.get() >= self.most || self.budget.used.get() >= self.budget.most {
+        if self.used.get() >= self.most {
             return None;
         }
         self.used.set(self.used.get() + 1);
-        self.budget.used.set(self.budget.used.get() + 1);
         Some(Slot(self.clone()))
     }
 
@@ -69,31 +72,40 @@
         self.used.get()
     }
 
+    /// Fewer are free than a burst may need at once.
+    pub fn is_short(&self) -> bool {
+        self.most - self.used.get() < self.most / 16
+    }
+
     /// Somebody waits for a slot.
     pub fn is_wanted(&self) -> bool {
-        self.budget.freed.total_listeners() > 0
+        self.freed.total_listeners() > 0
     }
 
-    /// Asks the holder that has listened longest to give its slot up.
+    /// Asks the holder that has listened longest to give its slot up, the useless ones first.
     pub fn want(&self) {
-        self.wanted.notify(1);
+        if self.useless.notify(1.additional()) == 0 {
+            self.idle.notify(1.additional());
+        }
     }
 
-    pub async fn wanted(&self) {
-        self.wanted.listen().await;
+    pub async fn wanted(&self, from: Holder) {
+        match from {
+            Holder::Useless => self.useless.listen().await,
+            Holder::Idle => self.idle.listen().await,
+        }
     }
 
     pub async fn freed(&self) {
-        self.budget.freed.listen().await;
+        self.freed.listen().await;
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         self.0.used.set(self.0.used.get().saturating_sub(1));
-        self.0.budget.used.set(self.0.budget.used.get().saturating_sub(1));
-        // Those who wait differ in what they may take: all look.
-        self.0.budget.freed.notify(usize::MAX);
+        // Those who wait differ in what they wait for: all look.
+        self.0.freed.notify(usize::MAX);
     }
 }
 
@@ -122,8 +134,8 @@
     pub clock: Clock,
     pub log: Logger,
     pub counters: Counters,
-    /// Descriptors for clients and for instances. Clients come first: their part is the larger, since a request
-    /// in the backlog counts as taken.
+    /// Descriptors for clients and for instances, apart: a flood of clients must not keep the requests of others
+    /// from the instances.
     pub clients: Rc<Slots>,
     pub upstream: Rc<Slots>,
     /// The router knows instances to serve from.
@@ -133,19 +145,26 @@
     /// When a connection or a request last came in.
     pub last_arrival: Cell<Time>,
     pub decider: async_channel::Sender<Message>,
+    /// Where bytes go that nobody wants; one for all connections.
+    pub scratch: RefCell<Vec<u8>>,
 }
 
 /// Kept back for the listener, the reactor, the log, discovery and what a library may open.
 const SPARE: usize = 24;
+/// The clients' part of the rest. Requests hold up to a third of all descriptors on the clients' side, and about
+/// as many on the other; the clients' part has room for those that come and hold nothing.
+const CLIENTS: (usize, usize) = (11, 20);
+/// What is thrown away is read in pieces of this size.
+const SCRATCH: usize = 64 * 1024;
 
 impl Shared {
     pub fn new(config: Config, log: Logger, decider: async_channel::Sender<Message>) -> Rc<Shared> {
         let most = config.sockets - SPARE;
-        let budget = Rc::new(Budget { used: Cell::new(0), most, freed: Event::new() });
+        let for_clients = most * CLIENTS.0 / CLIENTS.1;
         let clock = Clock::new();
         Rc::new(Shared {
-            clients: Slots::new(&budget, most * 4 / 5),
-            upstream: Slots::new(&budget, most * 2 / 5),
+            clients: Slots::new(for_clients),
+            upstream: Slots::new(most - for_clients),
             config,
             log,
             counters: Counters::default(),
@@ -154,6 +173,7 @@
             last_arrival: Cell::new(clock.now()),
             clock,
             decider,
+            scratch: RefCell::new(vec![0; SCRATCH]),
         })
     }
 }
