--- a/router/src/peer/link.rs
+++ b/router/src/peer/link.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 /// How long an answer that has begun may pause.
-const STALLED: Duration = Duration::from_millis(250);
+const STALLED: Duration = Duration::from_millis(100);
 
 pub struct Link {
     shared: Rc<Shared>,
