Name requests by the router itself, and pass on only whole and proper statements

By reading: Message::ClientLeft went by the client's id alone (client.rs, decider.rs), so a client that borrows an open request's id and closes ended the request of its owner, who then got no answer: a lost request. Now: a name of the router's own for each request; the client's ids that are owed an answer are a set, and a second request under one gets an error.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -11,7 +11,7 @@
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt as _;
 use futures_lite::future::or;
-use reelrill::{Need, RequestId, Time};
+use reelrill::{Need, Repeat, RequestId, Time};
 use slog::{info, warn};
 use std::io::Read as _;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -270,20 +270,28 @@
         let c = Comment::read(text).map_err(|e| e.to_string())?;
         let site = &self.shared.config.site;
         let class = site.class_names.iter().position(|name| name == c.class);
-        let class = class.ok_or_else(|| format!("unknown class '{}'", c.class))?;
+        let unknown = || format!("unknown class '{}'", c.class);
+        let class = class.ok_or_else(unknown)?;
+        let known = site.settings.classes.get(class).ok_or_else(unknown)?;
         if c.wait_ms == 0 || c.wait_ms > LONGEST_WAIT_MS {
             return Err("d: out of range".to_owned());
         }
-        let need = site.settings.classes.get(class).map(|class| class.need);
-        let has_session = matches!(need, Some(Need::Session | Need::Write));
+        if c.is_write != (known.need == Need::Write) {
+            return Err(format!("class '{}' does not go with this statement", c.class));
+        }
+        if matches!(known.repeat, Repeat::Keyed(_)) && !c.has_key {
+            return Err("k: missing".to_owned());
+        }
+        let has_session = matches!(known.need, Need::Session | Need::Write);
         Ok(Incoming {
+            request: self.shared.next_request(),
             id: c.id,
             class: class as u32,
             group: c.group,
             session: has_session.then(|| c.key.into()),
-            after: c.after().filter(|_| need == Some(Need::Session)),
+            after: c.after().filter(|_| known.need == Need::Session),
             is_retry: c.is_retry,
-            wait: c.wait_ms * 1_000_000,
+            wait: (c.wait_ms * 1_000_000).min(known.deadline),
             arrived: self.shared.clock.now(),
             statement: c.statement(text),
         })
@@ -291,7 +299,7 @@
 
     /// Hands the request to the decider and waits for its one answer, with an eye on the client.
     async fn ask(&mut self, incoming: Incoming) -> Result<Reply, CloseReason> {
-        let request: RequestId = incoming.id;
+        let request: RequestId = incoming.request;
         let (reply, answered) = async_channel::bounded(1);
         let shared = self.shared.clone();
         if shared.decider.send(Message::Request { incoming, reply }).await.is_err() {
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -13,7 +13,7 @@
 use reelrill::*;
 use slog::{debug, error, warn};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// The final answer leaves this long before the client gives up: it has to travel.
@@ -28,6 +28,8 @@
 }
 
 struct Open {
+    /// The client's name for the request.
+    id: u64,
     /// Taken once the final answer is given, or the client has left.
     reply: Option<Sender<Reply>>,
     deadline: Time,
@@ -50,6 +52,8 @@
     roster: Sender<Call>,
     peers: HashMap<MemberId, Handle>,
     open: HashMap<RequestId, Open>,
+    /// The clients' names of the requests that are owed an answer.
+    named: HashSet<u64>,
     due: BinaryHeap<Reverse<(Time, Due)>>,
     events: VecDeque<Event>,
 }
@@ -67,6 +71,7 @@
             roster,
             peers: HashMap::new(),
             open: HashMap::new(),
+            named: HashSet::new(),
             due: BinaryHeap::new(),
             events: VecDeque::new(),
         })
@@ -124,9 +129,9 @@
             self.resolve(request, number, Ended::silent(Ending::TimedOut));
         }
         self.settle();
-        if self.open.get(&request).is_some_and(|o| o.reply.is_some()) {
+        if let Some(open) = self.open.get(&request).filter(|o| o.reply.is_some()) {
             count(&self.shared.counters.overdue);
-            warn!(self.shared.log, "overdue"; "request" => format_args!("{request:016x}"));
+            warn!(self.shared.log, "overdue"; "request" => format_args!("{:016x}", open.id));
             self.answer(request, Reply::Failed("no answer in time"));
             self.events.push_back(Event::ClientLeft { request });
         }
@@ -136,7 +141,7 @@
         match message {
             Message::Request { incoming, reply } => self.on_request(incoming, reply),
             Message::ClientLeft { request } => {
-                if self.open.get_mut(&request).is_some_and(|o| o.reply.take().is_some()) {
+                if self.conclude(request).is_some() {
                     count(&self.shared.counters.client_left);
                     self.events.push_back(Event::ClientLeft { request });
                 }
@@ -152,19 +157,21 @@
 
     fn on_request(&mut self, incoming: Incoming, reply: Sender<Reply>) {
         count(&self.shared.counters.requests);
-        let id = incoming.id;
-        if self.open.contains_key(&id) {
-            // An id names one request; a second one under it must not touch the first.
+        let (request, id) = (incoming.request, incoming.id);
+        if !self.named.insert(id) {
+            // An id names one request: instances would take a second one under it for its copy.
+            count(&self.shared.counters.rejected);
             let _ = reply.try_send(Reply::Failed("this id is already in use"));
             return;
         }
         let now = self.shared.clock.now();
         let deadline = incoming.arrived.saturating_add(incoming.wait.saturating_sub(MARGIN));
         let statement = Rc::new(incoming.statement);
-        self.open.insert(id, Open { reply: Some(reply), deadline, statement, sends: 0, out: Vec::new() });
-        self.due.push(Reverse((deadline, Due::Deadline(id))));
+        let open = Open { id, reply: Some(reply), deadline, statement, sends: 0, out: Vec::new() };
+        self.open.insert(request, open);
+        self.due.push(Reverse((deadline, Due::Deadline(request))));
         self.events.push_back(Event::Request(Request {
-            id,
+            id: request,
             class: incoming.class,
             group: incoming.group,
             session: incoming.session,
@@ -248,7 +255,7 @@
     fn send(&mut self, now: Time, request: RequestId, member: MemberId, limit: Option<Span>) {
         let most = self.shared.config.site.settings.limits.max_attempts;
         let Some(open) = self.open.get_mut(&request) else {
-            error!(self.shared.log, "send for no request"; "request" => format_args!("{request:016x}"));
+            error!(self.shared.log, "send for no request"; "request" => request);
             return;
         };
         count(&self.shared.counters.attempts);
@@ -294,7 +301,7 @@
             Ending::Rejected => &c.unfit,
         });
         let latency = self.shared.clock.now().saturating_sub(out.sent);
-        debug!(self.shared.log, "attempt ended"; "request" => format_args!("{request:016x}"),
+        debug!(self.shared.log, "attempt ended"; "request" => format_args!("{:016x}", open.id),
                "number" => number, "member" => &*out.member, "ending" => ?ended.ending, "ns" => latency);
         if let Some(answer) = ended.answer {
             self.answer(request, Reply::Served(answer));
@@ -313,9 +320,17 @@
         self.forget(request);
     }
 
+    /// Nothing is owed for the request from now on; returns where its answer was to go.
+    fn conclude(&mut self, request: RequestId) -> Option<Sender<Reply>> {
+        let open = self.open.get_mut(&request)?;
+        let reply = open.reply.take()?;
+        self.named.remove(&open.id);
+        Some(reply)
+    }
+
     /// Gives the final answer, if it is still owed.
     fn answer(&mut self, request: RequestId, reply: Reply) {
-        let Some(to) = self.open.get_mut(&request).and_then(|o| o.reply.take()) else { return };
+        let Some(to) = self.conclude(request) else { return };
         let c = &self.shared.counters;
         count(match &reply {
             Reply::Served(_) => &c.served,
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -33,7 +33,10 @@
 /// A client's request as a front has read it.
 #[derive(Debug)]
 pub struct Incoming {
-    pub id: RequestId,
+    /// The router's own name for this request: clients may name theirs alike.
+    pub request: RequestId,
+    /// The client's name for it, which instances get to see.
+    pub id: u64,
     pub class: u32,
     pub group: u32,
     pub session: Option<Arc<str>>,
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -147,6 +147,7 @@
     pub decider: async_channel::Sender<Message>,
     /// Where bytes go that nobody wants; one for all connections.
     pub scratch: RefCell<Vec<u8>>,
+    requests: Cell<u64>,
 }
 
 /// Kept back for the listener, the reactor, the log, discovery and what a library may open.
@@ -174,6 +175,13 @@
             clock,
             decider,
             scratch: RefCell::new(vec![0; SCRATCH]),
+            requests: Cell::new(0),
         })
     }
+
+    /// A name for a request that no other has.
+    pub fn next_request(&self) -> u64 {
+        self.requests.set(self.requests.get() + 1);
+        self.requests.get()
+    }
 }
