Bound the memory of all buffers together by a fifth of the process's limit

Seen with a probe: 120 clients that each send 140 of the 150 kB they announced took the process to 35.5 MB, over the 32 MB that the smallest limit allows; a router that is killed loses all it had taken. Cause: buffer.rs grew each buffer to 256 KiB with no regard to the others. Now: growth beyond 16 KiB a buffer is drawn from one account, a fifth of limits.memory_mb. A client whose message no longer fits is refused (53300: nothing was taken) and closed; an instance's answer that does not fit is a failed attempt without blame for the instance. The unit test of the account fails without it.

--- a/router/src/buffer.rs
+++ b/router/src/buffer.rs
@@ -2,20 +2,49 @@
 
 use async_io::Async;
 use futures_lite::AsyncReadExt as _;
+use std::cell::Cell;
 use std::io;
 use std::net::TcpStream;
+use std::rc::Rc;
 
 const FIRST: usize = 2048;
 const KEEP: usize = 16 * 1024;
 
-#[derive(Default)]
+/// What all buffers together may hold beyond what each keeps: many large messages at once, sent whole or in part,
+/// must not take the process over its memory limit.
+pub struct Memory {
+    large: Cell<usize>,
+    most: usize,
+}
+
+impl Memory {
+    pub fn new(most: usize) -> Rc<Memory> {
+        Rc::new(Memory { large: Cell::new(0), most })
+    }
+}
+
 pub struct Buffer {
+    memory: Rc<Memory>,
     data: Vec<u8>,
     start: usize,
     end: usize,
 }
 
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
+fn large(len: usize) -> usize {
+    len.saturating_sub(KEEP)
+}
+
 impl Buffer {
+    pub fn new(memory: &Rc<Memory>) -> Buffer {
+        Buffer { memory: memory.clone(), data: Vec::new(), start: 0, end: 0 }
+    }
+
     /// What has been read and not consumed.
     pub fn bytes(&self) -> &[u8] {
         &self.data[self.start..self.end]
@@ -27,26 +56,37 @@
             (self.start, self.end) = (0, 0);
             if self.data.len() > KEEP {
                 // One large value must not hold its memory for as long as the connection lives.
-                self.data = Vec::new();
+                self.release();
             }
         }
     }
 
-    fn room(&mut self) -> &mut [u8] {
+    /// Throws everything away and gives the memory back.
+    pub fn release(&mut self) {
+        self.memory.large.set(self.memory.large.get() - large(self.data.len()));
+        (self.data, self.start, self.end) = (Vec::new(), 0, 0);
+    }
+
+    fn room(&mut self) -> io::Result<&mut [u8]> {
         if self.start > 0 && self.end == self.data.len() {
             self.data.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
         }
         if self.end == self.data.len() {
             let len = (self.data.len() * 2).max(FIRST);
+            let all = self.memory.large.get() + large(len) - large(self.data.len());
+            if all > self.memory.most {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
+            self.memory.large.set(all);
             self.data.resize(len, 0);
         }
-        &mut self.data[self.end..]
+        Ok(&mut self.data[self.end..])
     }
 
     /// Reads once; 0 is the end of the stream. Nothing is lost if the future is dropped while it waits.
     pub async fn fill(&mut self, mut stream: &Async<TcpStream>) -> io::Result<usize> {
-        let n = stream.read(self.room()).await?;
+        let n = stream.read(self.room()?).await?;
         self.end += n;
         Ok(n)
     }
@@ -58,18 +98,35 @@
 
     #[test]
     fn it_compacts_before_it_grows_and_gives_large_memory_back() {
-        let mut b = Buffer::default();
-        let n = b.room().len();
+        let mut b = Buffer::new(&Memory::new(1 << 20));
+        let n = b.room().unwrap().len();
         b.end = n;
         b.consume(n / 2);
-        b.room();
+        b.room().unwrap();
         assert_eq!((b.start, b.end, b.data.len()), (0, n - n / 2, n));
         while b.data.len() <= KEEP {
             b.end = b.data.len();
-            b.room();
+            b.room().unwrap();
         }
         b.end = b.data.len();
         b.consume(b.end);
         assert_eq!((b.bytes().len(), b.data.capacity()), (0, 0));
     }
+
+    #[test]
+    fn all_together_stay_within_their_memory() {
+        let memory = Memory::new(64 * 1024);
+        let fill = |b: &mut Buffer| {
+            while b.room().is_ok() {
+                b.end = b.data.len();
+            }
+            b.data.len()
+        };
+        let (mut one, mut other) = (Buffer::new(&memory), Buffer::new(&memory));
+        assert_eq!((fill(&mut one), fill(&mut other)), (64 * 1024, 32 * 1024));
+        drop(one);
+        assert_eq!(fill(&mut other), 64 * 1024);
+        other.release();
+        assert_eq!(memory.large.get(), 0);
+    }
 }
--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -13,7 +13,7 @@
 use futures_lite::future::or;
 use reelrill::{Need, Repeat, RequestId, Time};
 use slog::{info, warn};
-use std::io::Read as _;
+use std::io::{ErrorKind, Read as _};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -76,7 +76,7 @@
 async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>, _slot: Slot) {
     let _ = stream.get_ref().set_nodelay(true);
     let accepted = shared.clock.now();
-    let buffer = Buffer::default();
+    let buffer = Buffer::new(&shared.memory);
     let mut client =
         Client { shared, stream, buffer, accepted, is_new: true, begun: None, is_skipping: false };
     let reason = client.session().await.err().unwrap_or(CloseReason::Terminate);
@@ -222,6 +222,7 @@
         };
         let read = async { Waited::Read(self.buffer.fill(&self.stream).await) };
         match or(read, or(late, or(ending, evicted))).await {
+            Waited::Read(Err(e)) if e.kind() == ErrorKind::OutOfMemory => Err(self.no_memory().await),
             Waited::Read(read) => self.gone(&read).map_or(Ok(()), Err),
             Waited::Done(reason) => {
                 if reason == CloseReason::Evicted {
@@ -356,21 +357,31 @@
         }
     }
 
+    /// The request was never taken: trying again is harmless.
+    async fn no_memory(&mut self) -> CloseReason {
+        self.last_words(codec::TOO_MANY, "no memory for a message of this size now").await;
+        CloseReason::NoMemory
+    }
+
     /// Says what is wrong; the connection is closed after it.
     async fn fatal(&mut self, why: &str) -> CloseReason {
+        self.last_words(codec::PROTOCOL_VIOLATION, why).await;
+        CloseReason::Malformed
+    }
+
+    async fn last_words(&mut self, code: &str, why: &str) {
         count(&self.shared.counters.rejected);
         let mut out = Vec::new();
-        codec::put_error(&mut out, true, codec::PROTOCOL_VIOLATION, why, None);
+        codec::put_error(&mut out, true, code, why, None);
         if self.write(&out).await.is_ok() {
             self.linger().await;
         }
-        CloseReason::Malformed
     }
 
     /// Closes our side and throws away what still comes: to close with bytes unread would reset the connection,
     /// and the error might not arrive. Nothing is stored, and others get their turn after each piece.
     async fn linger(&mut self) {
-        self.buffer = Buffer::default();
+        self.buffer.release();
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -31,6 +31,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that the process may hold.
+    pub memory: usize,
     /// The list as this router last had it: its version and entries.
     pub known: (Option<u64>, Vec<Listed>),
     pub site: Site,
@@ -62,6 +64,7 @@
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("limits.sockets", self.sockets != new.sockets),
+            ("limits.memory_mb", self.memory != new.memory),
             ("settings", self.settings != new.settings),
         ];
         differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
@@ -92,7 +95,9 @@
         };
         let seed = value.get("seed").and_then(Value::as_str);
         let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
+        let memory_mb = value.pointer("/limits/memory_mb").and_then(Value::as_u64).unwrap_or(192);
         Ok(Config {
+            memory: usize::try_from(memory_mb.clamp(16, 1 << 20)).unwrap_or(192) << 20,
             name: text("RELAY_NAME", "name").unwrap_or_else(|| "reelrill".to_owned()),
             listen: address("RELAY_LISTEN", "listen")?,
             discovery: address("RELAY_DISCOVERY", "discovery")?,
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -1,11 +1,12 @@
 //! A kept-alive HTTP/1.1 connection to discovery: one GET at a time.
 
-use crate::buffer::Buffer;
+use crate::buffer::{Buffer, Memory};
 use crate::log::CloseReason;
 use async_io::Async;
 use futures_lite::AsyncWriteExt as _;
 use slog::{Logger, info};
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 
 const LARGEST: usize = 8 * 1024 * 1024;
 
@@ -44,12 +45,12 @@
 }
 
 impl Connection {
-    pub async fn open(host: SocketAddr, log: Logger) -> Result<Connection, HttpError> {
+    pub async fn open(host: SocketAddr, memory: &Rc<Memory>, log: Logger) -> Result<Connection, HttpError> {
         let stream = Async::<TcpStream>::connect(host).await?;
         stream.get_ref().set_nodelay(true)?;
         // Dropped inside a call: the caller took another or stopped waiting.
         let reason = CloseReason::Replaced;
-        Ok(Connection { stream, buffer: Buffer::default(), host, keep: true, reason, log })
+        Ok(Connection { stream, buffer: Buffer::new(memory), host, keep: true, reason, log })
     }
 
     /// Whether another call may follow on this connection.
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -25,6 +25,8 @@
     Malformed,
     /// A message larger than any the router takes.
     Oversized,
+    /// All buffers together are as large as they may be.
+    NoMemory,
     /// The client did not read its answer.
     NotReading,
     /// Closed between requests to make room for another.
@@ -62,6 +64,7 @@
             CloseReason::CancelRequest => "cancel_request",
             CloseReason::Malformed => "malformed",
             CloseReason::Oversized => "oversized",
+            CloseReason::NoMemory => "no_memory",
             CloseReason::NotReading => "not_reading",
             CloseReason::Evicted => "evicted",
             CloseReason::Shutdown => "shutdown",
--- a/router/src/peer/link.rs
+++ b/router/src/peer/link.rs
@@ -198,11 +198,12 @@
         let failed = |_: io::Error| Ending::ConnectFailed;
         let stream = Async::<TcpStream>::connect(endpoint).await.map_err(failed)?;
         stream.get_ref().set_nodelay(true).map_err(failed)?;
+        let memory = shared.memory.clone();
         let mut link = Link {
             idle_since: shared.clock.now(),
             shared,
             stream,
-            buffer: Buffer::default(),
+            buffer: Buffer::new(&memory),
             member,
             endpoint,
             reason: CloseReason::DialFailed,
@@ -271,6 +272,10 @@
                     Ok(n) if n > 0 => continue,
                     Ok(_) => break (CloseReason::Eof, Fault::Broken),
                     Err(e) if e.kind() == io::ErrorKind::TimedOut => Step::Stray,
+                    // The lack is the router's own: the instance is not to blame.
+                    Err(e) if e.kind() == io::ErrorKind::OutOfMemory => {
+                        break (CloseReason::NoMemory, Fault::Spoilt);
+                    }
                     Err(_) => break (CloseReason::Reset, Fault::Broken),
                 },
                 Err(_) => Step::Stray,
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -200,7 +200,8 @@
             Some(kept) => kept,
             None => {
                 let log = self.shared.log.new(o!());
-                let open = async { Ok(Connection::open(self.discovery.get(), log).await?) };
+                let open =
+                    async { Ok(Connection::open(self.discovery.get(), &self.shared.memory, log).await?) };
                 or(open, silent(SILENCE)).await?
             }
         };
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of the one thread share: clock, log, counters, the descriptor budget and the phase.
 
+use crate::buffer::Memory;
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::exchange::Message;
@@ -145,6 +146,8 @@
     /// When a connection or a request last came in.
     pub last_arrival: Cell<Time>,
     pub decider: async_channel::Sender<Message>,
+    /// What the buffers of all connections may grow to.
+    pub memory: Rc<Memory>,
     /// Where bytes go that nobody wants; one for all connections.
     pub scratch: RefCell<Vec<u8>>,
     requests: Cell<u64>,
@@ -155,6 +158,9 @@
 /// The clients' part of the rest. Requests hold up to a third of all descriptors on the clients' side, and about
 /// as many on the other; the clients' part has room for those that come and hold nothing.
 const CLIENTS: (usize, usize) = (11, 20);
+/// The part of the memory limit for large buffers. What a buffer holds may be copied twice on its way (statement,
+/// attempt), and the rest of the process needs some 5 MB.
+const LARGE: (usize, usize) = (1, 5);
 /// What is thrown away is read in pieces of this size.
 const SCRATCH: usize = 64 * 1024;
 
@@ -166,6 +172,7 @@
         Rc::new(Shared {
             clients: Slots::new(for_clients),
             upstream: Slots::new(most - for_clients),
+            memory: Memory::new(config.memory * LARGE.0 / LARGE.1),
             config,
             log,
             counters: Counters::default(),
