Forget members that left the list, once nothing refers to them

Seen by reading: Brain.members, index and groups kept every member ever listed, and tau, the time that evidence counts, grows with members.len(). Now: a member that left the list longer ago than a warm-up takes, with nothing out and no open request that tried it, gives its place back; tau counts those in mind. One that a list leaves out for a moment comes back as it was. The test keeps a member whose attempt is out, and fails without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,6 +66,8 @@
     group: u32,
     zone: u32,
     listed: bool,
+    /// When it left the list.
+    left: Time,
     leaving: Option<Time>,
     listed_primary: bool,
     started: Time,
@@ -95,6 +97,13 @@
     picked: f64,
 }
 
+impl Member {
+    fn unlist(&mut self, now: Time) {
+        self.left = if self.listed { now } else { self.left };
+        self.listed = false;
+    }
+}
+
 #[derive(Default)]
 struct Group {
     members: Vec<usize>,
@@ -129,6 +138,8 @@
     set: Settings,
     rng: u64,
     members: Vec<Member>,
+    /// Places in `members` that those forgotten have left.
+    free: Vec<usize>,
     index: BTreeMap<MemberId, usize>,
     groups: BTreeMap<u32, Group>,
     pending: BTreeMap<RequestId, Pending>,
@@ -165,6 +176,7 @@
         Ok(Brain {
             rng: seed,
             members: Vec::new(),
+            free: Vec::new(),
             index: BTreeMap::new(),
             groups: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -258,7 +270,7 @@
         if kind != ListKind::Changes {
             let named: std::collections::BTreeSet<&MemberId> = entries.iter().map(|e| &e.member).collect();
             for m in self.members.iter_mut().filter(|m| binds && !named.contains(&m.id)) {
-                m.listed = false;
+                m.unlist(now);
             }
         }
         for e in entries {
@@ -267,27 +279,59 @@
             match e.state {
                 State::Serving => (old.listed, old.leaving) = (true, None),
                 State::Draining => old.leaving = old.leaving.or(Some(now)),
-                State::Gone => {
-                    old.listed &= !binds;
-                    continue;
-                }
+                State::Gone if binds => old.unlist(now),
+                State::Gone => {}
+            }
+            if e.state == State::Gone {
+                continue;
             }
             old.started = old.started.max(e.started);
             old.listed_primary = e.primary && self.set.list_role != ListRole::Silent;
         }
+        self.forget_gone(now);
+    }
+
+    /// How many members it keeps in mind.
+    pub fn known(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Those that left the list a while ago, once nothing refers to them. On a long day of replacements they
+    /// would be most of all members, and evidence would be kept as if they shared the traffic, too.
+    fn forget_gone(&mut self, now: Time) {
+        let is_used =
+            |m: usize| self.pending.values().any(|p| p.tried.contains(&m) || p.ran.iter().any(|r| r.1 == m));
+        // One that the list leaves out for a moment comes back as it was.
+        let is_gone = |m: &usize| {
+            let x = &self.members[*m];
+            !x.listed && now > x.left + self.set.rules.warm_after && x.out.is_empty() && !is_used(*m)
+        };
+        for m in self.index.values().copied().filter(is_gone).collect::<Vec<usize>>() {
+            let x = std::mem::take(&mut self.members[m]);
+            self.index.remove(&x.id);
+            if let Some(g) = self.groups.get_mut(&x.group) {
+                g.members.retain(|i| *i != m);
+                g.scouted.retain(|i| *i != m);
+                g.primary = g.primary.filter(|i| *i != m);
+            }
+            self.free.push(m);
+        }
     }
 
     fn intern(&mut self, now: Time, e: &Entry) -> usize {
         if let Some(&m) = self.index.get(&e.member) {
             return m;
         }
-        let m = self.members.len();
+        let m = self.free.pop().unwrap_or(self.members.len());
         let (id, started) = (e.member.clone(), e.started);
         let (group, zone, answered) = (e.group, e.zone, now);
         // Last in the rotation, in an order of this proxy's own: proxies that hear of the same members in
         // the same instant must not all turn to the same one first.
         let picked = self.picks + self.random();
-        self.members.push(Member { id, group, zone, started, answered, picked, ..Member::default() });
+        if m == self.members.len() {
+            self.members.push(Member::default());
+        }
+        self.members[m] = Member { id, group, zone, started, answered, picked, ..Member::default() };
         self.index.insert(e.member.clone(), m);
         let members = &self.members;
         let group = self.groups.entry(e.group).or_default();
@@ -314,7 +358,7 @@
     /// have none. The pool of a role keeps its last samples.
     fn tau(&self, now: Time, w: usize) -> f64 {
         let gap = PACE * self.max_aim / self.pace.now(now, PACE * self.max_aim).1.max(1.0);
-        let own = gap * self.members.len() as f64;
+        let own = gap * self.index.len() as f64;
         match w {
             0 => (WINDOW * self.max_aim).max(FEW.0 * own),
             1 => self.min_aim.max(FEW.1 * own),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -411,3 +411,32 @@
     let got: Vec<String> = (0..24).map(|_| h.serve(SESSION, h.now - 200 * MS)).collect();
     assert_eq!(got.iter().filter(|m| **m == to).count(), 12, "{got:?}");
 }
+
+/// Guards the long day: members that are replaced one after the other are forgotten, but not while an attempt on
+/// one is out; its request then goes on elsewhere.
+#[test]
+fn members_that_are_gone_are_forgotten() {
+    let mut h = Host::new(settings());
+    h.warm_up();
+    let (id, out) = h.request(BOUNDED);
+    let to = sent(&out).unwrap().to_string();
+    let change = |name: &str, state| {
+        let entries = vec![Entry { state, ..entry(name, false) }];
+        Event::List { kind: ListKind::Changes, entries }
+    };
+    h.feed(change(&to, State::Gone));
+    assert_eq!(h.brain.known(), 3);
+    let out = h.outcome(id, &to, 0, Ending::Reset, Standing::default());
+    let other = sent(&out).expect("goes on").to_string();
+    h.outcome(id, &other, 1, Ending::Served, replica(h.now));
+    for n in 0..200 {
+        h.wait(100 * MS);
+        h.feed(change(&format!("n{n}"), State::Serving));
+        h.serve(SESSION, h.now);
+        h.feed(change(&format!("n{n}"), State::Gone));
+    }
+    h.wait(10_001 * MS);
+    h.feed(Event::List { kind: ListKind::Changes, entries: Vec::new() });
+    assert_eq!(h.brain.known(), 2);
+    assert!((0..4).all(|_| ["a", &other].contains(&&*h.serve(SESSION, h.now))));
+}
