--- a/src/brain.rs
+++ b/src/brain.rs
@@ -419,8 +419,8 @@
     fn answered(&mut self, now: Time, m: usize) {
         let x = &mut self.members[m];
         // Back from out of reach: had its process died, its log would have stood still. The list tells of the
-        // restart seconds later, when all proxies together have long pushed the cold one over. After a moment
-        // out of reach nothing is known: the usual lag is longer, and a warm member taken for a cold one is lost.
+        // restart seconds later, when all proxies together have long pushed the cold one over. A moment out of
+        // reach tells nothing: the usual lag is longer, and a warm member taken for a cold one is lost.
         let gone = now.saturating_sub(x.away_since);
         let behind = gone > self.max_aim as Span && x.position.unwrap_or(0).saturating_add(gone / 2) < now;
         if x.away > 0 && behind && x.role != Some(Role::Primary) {
