Let one broken connection say nothing of its member; three in a row rest it

Cause: Brain::judge rested a member for any reset (some 40 ms at these aims), and Brain::answered then let what was held wait up to half an aim more; requests to the primary were held for both. Now: a reset counts as out of reach from the third in a row without an answer between; a process that died breaks all its connections and refuses new ones, so it is known as fast as before (failed connects are unchanged).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,8 +25,8 @@
 /// Further attempts that may have cost work, as a share of requests, and the reserve of them.
 const EXTRA: f64 = 0.15;
 const RESERVE: f64 = 20.0;
-/// Spoilt answers in a row, without a good one, that make a member a failed one.
-const SPOILT: u32 = 3;
+/// Spoilt answers, or broken connections, in a row and without a good answer, that tell of the member.
+const IN_A_ROW: u32 = 3;
 /// Mean latency, in aims, at which refusals begin, and at which all are refused.
 const SHED: (f64, f64) = (1.2, 2.1);
 
@@ -89,6 +89,7 @@
     fulls: u32,
     away: u32,
     spoilt: u32,
+    broken: u32,
     away_since: Time,
     /// Trial reads since its last answer.
     trials: u32,
@@ -419,8 +420,8 @@
     fn answered(&mut self, now: Time, m: usize) {
         let x = &mut self.members[m];
         // Back from out of reach: had its process died, its log would have stood still. The list tells of the
-        // restart seconds later, when all proxies together have long pushed the cold one over. A moment out of
-        // reach tells nothing: the usual lag is longer, and a warm member taken for a cold one is lost.
+        // restart seconds later, when all proxies together have long pushed the cold one over. A moment out
+        // of reach tells nothing: the usual lag is longer, and a warm member taken for a cold one is lost.
         let gone = now.saturating_sub(x.away_since);
         let behind = gone > self.max_aim as Span && x.position.unwrap_or(0).saturating_add(gone / 2) < now;
         if x.away > 0 && behind && x.role != Some(Role::Primary) {
@@ -430,7 +431,7 @@
             self.groups.entry(x.group).or_default().found = now;
         }
         x.answered = now;
-        (x.down, x.trials, x.fulls, x.away, x.spoilt) = (false, 0, 0, 0, 0);
+        (x.down, x.trials, x.fulls, x.away, x.spoilt, x.broken) = (false, 0, 0, 0, 0, 0);
     }
 
     fn learn(&mut self, now: Time, m: usize, s: Standing, direct: bool) {
@@ -842,6 +843,7 @@
         self.learn(now, m, standing, true);
         let took = o.latency as f64;
         self.members[m].spoilt += u32::from(o.ending == Ending::Spoilt);
+        self.members[m].broken += u32::from(o.ending == Ending::Reset);
         match o.ending {
             Ending::Served => {
                 self.members[m].overtaking = self.members[m].overtaking.max(a.sent);
@@ -851,7 +853,7 @@
             }
             Ending::Miss | Ending::Rejected => self.answered(now, m),
             // Any member's answer may be spoilt on its way, so one tells nothing of its health.
-            Ending::Spoilt if self.members[m].spoilt < SPOILT => {}
+            Ending::Spoilt if self.members[m].spoilt < IN_A_ROW => {}
             // Full or draining: no sample of its cost, but a rest that grows as it repeats, and crowding:
             // with all queues full nothing is answered in time, and no latency would tell.
             Ending::Full => {
@@ -879,6 +881,8 @@
             // A dead process, a cut link and a full connection table look alike, and a shallow probe tells
             // none of them: it rests, at growing pauses up to the design's five seconds, drawn so that many
             // proxies do not come back in step. Those who hold a connection keep to it meanwhile.
+            // One connection may break on its own: a process that died breaks all and refuses new ones.
+            Ending::Reset if self.members[m].broken < IN_A_ROW => {}
             Ending::ConnectFailed | Ending::Reset => {
                 let draw = 0.5 + self.random();
                 let x = &mut self.members[m];
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -440,3 +440,22 @@
     assert_eq!(h.brain.known(), 2);
     assert!((0..4).all(|_| ["a", &other].contains(&&*h.serve(SESSION, h.now))));
 }
+
+/// Guards a member against resting for one connection that broke: its requests would be held or refused though
+/// its other connections answer. Three in a row, as of a process that died, do rest it.
+#[test]
+fn one_broken_connection_does_not_rest_its_member() {
+    let mut h = Host::new(settings());
+    (0..4).for_each(|_| h.warm_up());
+    let reset = |h: &mut Host| {
+        let (id, out) = h.request(FRESH);
+        assert_eq!(sent(&out), Some("a"));
+        let out = h.outcome(id, "a", 0, Ending::Reset, Standing::default());
+        sent(&out).map(|m| (id, m.to_string()))
+    };
+    let (id, again) = reset(&mut h).expect("goes out again at once");
+    h.outcome(id, &again, 1, Ending::Served, primary(h.now));
+    assert_eq!(reset(&mut h).expect("an answer has come in between").1, "a");
+    assert!(reset(&mut h).is_some());
+    assert_eq!(reset(&mut h), None, "the third in a row");
+}
