Try a group that is all out of reach sooner, and refuse early what cannot be sent

Cause: Brain::judge let a member rest up to 7.5 s even if nobody else in its group was open; on_list took note of a restart but not that it ends the absence; place held requests whatever the rests. Now: the rest of a member that nobody can stand in for ends after 1.5 longest aims at most; a restart told by the list ends a rest (the cold guard still limits what it gets); a request with no attempt is refused at once, with advice, if no member can be open within the first half of its time. The test fails before this change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -286,7 +286,10 @@
             if e.state == State::Gone {
                 continue;
             }
-            old.started = old.started.max(e.started);
+            if e.started > old.started {
+                // It has started again, so it is there: no need to wait out a rest that was for its absence.
+                (old.started, old.rest_until) = (e.started, now);
+            }
             old.listed_primary = e.primary && self.set.list_role != ListRole::Silent;
         }
         self.forget_gone(now);
@@ -707,6 +710,10 @@
         }
         let target = if to_lead { self.pick_lead(now, &p) } else { self.pick_read(now, &p) };
         let Some(m) = target else {
+            // Nobody to send it to before half of its time is over: better known now than then.
+            if p.sent == 0 && !self.may_come(now, &p) {
+                return self.give_up(p, out);
+            }
             p.held = true;
             p.tried.clear();
             if let Some(g) = self.groups.get_mut(&group) {
@@ -730,6 +737,13 @@
         self.send(now, id, m, p, out);
     }
 
+    /// Whether any member of the group may be open within the first half of the request's time.
+    fn may_come(&self, now: Time, p: &Pending) -> bool {
+        let half = p.deadline.saturating_sub(p.req.time_left / 2).max(now);
+        let mut members = self.groups[&p.req.group].members.iter().map(|&m| &self.members[m]);
+        members.any(|x| x.listed && x.leaving.is_none() && x.rest_until <= half)
+    }
+
     /// Rule 2: what may have run goes out again only as its class allows.
     fn may_send(&self, now: Time, m: usize, p: &Pending) -> bool {
         let class = self.class(p);
@@ -886,9 +900,14 @@
             Ending::ConnectFailed | Ending::Reset => {
                 let draw = 0.5 + self.random();
                 let x = &mut self.members[m];
+                let group = x.group;
                 x.away_since = if x.away == 0 { now } else { x.away_since };
                 x.away = (x.away + 1).min(8);
-                let pause = (self.min_aim / 4.0 * f64::from(1u32 << x.away)).min(TRIAL as f64);
+                let alone = !self.groups[&group].members.iter().any(|&i| i != m && self.open(now, i));
+                // With the whole group out of reach a failed connect costs little, and a long rest much.
+                let longest = if alone { self.max_aim } else { TRIAL as f64 };
+                let x = &mut self.members[m];
+                let pause = (self.min_aim / 4.0 * f64::from(1u32 << x.away)).min(longest);
                 x.rest_until = now + (pause * draw) as Span;
             }
             Ending::Moot | Ending::Unsent => {}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -459,3 +459,53 @@
     assert!(reset(&mut h).is_some());
     assert_eq!(reset(&mut h), None, "the third in a row");
 }
+
+/// Guards a group whose members are all out of reach: what could not be sent in the first half of its time is
+/// refused at once, a member is tried again before long, and one that the list says has started again at once.
+#[test]
+fn a_group_that_is_all_out_of_reach_is_refused_early_and_found_back_soon() {
+    let mut h = Host::new(settings());
+    (0..4).for_each(|_| h.warm_up());
+    let mut sends = std::collections::HashMap::new();
+    // No member can be reached: whatever is sent comes back at once.
+    let mut lose = |h: &mut Host, mut out: Vec<Action>| {
+        while let Some(action) = out.pop() {
+            let Action::Send { request, member, .. } = action else { continue };
+            let n = sends.entry(request).or_insert(0);
+            *n += 1;
+            out.extend(h.outcome(request, &member, *n - 1, Ending::ConnectFailed, Standing::default()));
+        }
+    };
+    for _ in 0..200 {
+        let (_, out) = h.request(SESSION);
+        lose(&mut h, out);
+        let out = h.wait(50 * MS);
+        lose(&mut h, out);
+    }
+    let short = |h: &mut Host| {
+        let (class, id, time_left) = (SESSION, h.next, 400 * MS);
+        h.next += 1;
+        let (session, since_write, tenant, work) = (None, None, None, None);
+        let (group, is_retry) = (1, false);
+        let req = Request { id, class, group, session, since_write, tenant, work, is_retry, time_left };
+        h.feed(Event::Request(req))
+    };
+    for _ in 0..2 {
+        let out = h.wait(8000 * MS);
+        lose(&mut h, out);
+    }
+    let (_, out) = h.request(SESSION);
+    lose(&mut h, out);
+    assert!(refused(&short(&mut h)), "at once");
+    let mut e = entry("b", false);
+    e.started = h.now - 10_000 * MS;
+    h.feed(Event::List { kind: ListKind::Changes, entries: vec![e] });
+    let mut seen = Vec::new();
+    for _ in 0..12 {
+        seen.extend(sent(&short(&mut h)).map(str::to_string));
+    }
+    assert!(seen.iter().all(|m| m == "b") && !seen.is_empty(), "it has started again, and is cold: {seen:?}");
+    h.wait(600 * MS);
+    let again = (0..12).filter_map(|_| sent(&short(&mut h)).map(str::to_string)).any(|m| m != "b");
+    assert!(again, "the last one to go rests for one and a half longest aims at most");
+}
