Make room for new clients from half of their descriptors on, and drop requests of those that left

A probe at each end of a connection: those evicted had been silent for 1.3 s, or idle. Cause: Slots::is_short made room only when fewer than a sixteenth were free, and client.rs let idle ones give way after 500 ms only; a crowd then holds what usual clients need, who find no connection. Now: each connection accepted beyond half of the quota has another go; an idle one may go after 20 ms, unless a quarter of all have just come and nothing is known of them (a silent flood must not push out those in use); a request whose client has already closed is not sent on. The test fails before this change: nobody makes room.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -6,7 +6,7 @@
 use crate::log::CloseReason;
 use crate::pgwire::codec::{self, FrameError, Startup};
 use crate::pgwire::comment::Comment;
-use crate::shared::{Holder, Shared, Slot};
+use crate::shared::{Fresh, Holder, Shared, Slot};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt as _;
@@ -24,8 +24,8 @@
 /// A connection that has asked nothing yet gives way to another only after this time: a request of the usual kind
 /// comes right behind the startup.
 const GRACE: Duration = Duration::from_millis(100);
-/// An idle connection gives way after this time: one in steady use is worth more than a new one.
-const IDLE: Duration = Duration::from_millis(500);
+/// An idle connection gives way after this time: its next request may be on its way.
+const IDLE: Duration = Duration::from_millis(20);
 /// A client that does not read its answer for this long has lost it.
 const WRITING: Duration = Duration::from_secs(5);
 /// How long the rest of what a client sends is thrown away after its last answer.
@@ -76,9 +76,8 @@
 async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>, _slot: Slot) {
     let _ = stream.get_ref().set_nodelay(true);
     let accepted = shared.clock.now();
-    let buffer = Buffer::new(&shared.memory);
-    let mut client =
-        Client { shared, stream, buffer, accepted, is_new: true, begun: None, is_skipping: false };
+    let (buffer, fresh) = (Buffer::new(&shared.memory), Some(shared.clients.fresh()));
+    let mut client = Client { shared, stream, buffer, accepted, fresh, begun: None, is_skipping: false };
     let reason = client.session().await.err().unwrap_or(CloseReason::Terminate);
     info!(client.shared.log, "connection ended"; "with" => "client", "reason" => reason.code());
 }
@@ -89,7 +88,7 @@
     buffer: Buffer,
     accepted: Time,
     /// No command has come yet.
-    is_new: bool,
+    fresh: Option<Fresh>,
     /// When a part of a message came whose rest has not.
     begun: Option<Time>,
     /// Extended commands are passed over up to the Sync that ends them.
@@ -192,7 +191,7 @@
         let is_between = self.buffer.bytes().is_empty();
         // A message that has stalled or drips in, or a connection that says nothing, must not hold a slot.
         let now = shared.clock.now();
-        let (holder, since, limit) = match (self.is_new, is_between) {
+        let (holder, since, limit) = match (self.fresh.is_some(), is_between) {
             (true, _) => (Holder::Useless, self.accepted, Some(CloseReason::StartupTimeout)),
             (false, true) => (Holder::Idle, now, None),
             (false, false) => (Holder::Useless, *self.begun.get_or_insert(now), Some(CloseReason::Stalled)),
@@ -214,7 +213,7 @@
         };
         let ending = async {
             shared.ending.wait().await;
-            if self.is_new {
+            if self.fresh.is_some() {
                 // Its client would meet the same on any further connection, and lose its first request.
                 Timer::after(FIRST_REQUEST).await;
             }
@@ -235,7 +234,7 @@
 
     async fn on_query(&mut self, text: &str) -> Result<(), CloseReason> {
         self.shared.last_arrival.set(self.shared.clock.now());
-        self.is_new = false;
+        self.fresh = None;
         let mut out = Vec::new();
         if text.trim_matches(|c: char| c.is_whitespace() || c == ';').is_empty() {
             // The front sends clients once this is answered: only a router that can serve says so.
@@ -300,6 +299,10 @@
 
     /// Hands the request to the decider and waits for its one answer, with an eye on the client.
     async fn ask(&mut self, incoming: Incoming) -> Result<Reply, CloseReason> {
+        // Its client may have gone while it waited in the backlog: instances must not work for nobody.
+        if self.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n == 0) {
+            return Err(CloseReason::LeftWaiting);
+        }
         let request: RequestId = incoming.request;
         let (reply, answered) = async_channel::bounded(1);
         let shared = self.shared.clone();
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -42,10 +42,21 @@
     /// Holders that could go, by what they are.
     useless: Event,
     idle: Event,
+    /// Holders of which nothing is known yet.
+    fresh: Cell<usize>,
 }
 
 pub struct Slot(Rc<Slots>);
 
+/// Counts a holder as fresh until dropped.
+pub struct Fresh(Rc<Slots>);
+
+impl Drop for Fresh {
+    fn drop(&mut self) {
+        self.0.fresh.set(self.0.fresh.get().saturating_sub(1));
+    }
+}
+
 /// What somebody holds a slot for that others want.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holder {
@@ -58,7 +69,7 @@
 impl Slots {
     fn new(most: usize) -> Rc<Slots> {
         let (freed, useless, idle) = (Event::new(), Event::new(), Event::new());
-        Rc::new(Slots { used: Cell::new(0), most, freed, useless, idle })
+        Rc::new(Slots { used: Cell::new(0), most, freed, useless, idle, fresh: Cell::new(0) })
     }
 
     pub fn take(self: &Rc<Self>) -> Option<Slot> {
@@ -73,9 +84,9 @@
         self.used.get()
     }
 
-    /// Fewer are free than a burst may need at once.
+    /// Half are in use: a burst needs the rest.
     pub fn is_short(&self) -> bool {
-        self.most - self.used.get() < self.most / 16
+        self.used.get() > self.most / 2
     }
 
     /// Somebody waits for a slot.
@@ -83,9 +94,15 @@
         self.freed.total_listeners() > 0
     }
 
-    /// Asks the holder that has listened longest to give its slot up, the useless ones first.
+    pub fn fresh(self: &Rc<Self>) -> Fresh {
+        self.fresh.set(self.fresh.get() + 1);
+        Fresh(self.clone())
+    }
+
+    /// Asks the holder that has listened longest to give its slot up, the useless ones first. Where many are
+    /// fresh, those that will turn out useless are waited for: the idle ones are in use.
     pub fn want(&self) {
-        if self.useless.notify(1.additional()) == 0 {
+        if self.useless.notify(1.additional()) == 0 && self.fresh.get() * 4 <= self.used.get() {
             self.idle.notify(1.additional());
         }
     }
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -451,6 +451,32 @@
     assert!(router.logged("reason: evicted") && router.counted("accept_errors=0"));
 }
 
+/// Guards usual clients against a crowd of others that ask once and stay: room is made from half of the clients'
+/// descriptors on, not when the last one is gone.
+#[test]
+fn idle_clients_make_room_before_the_last_descriptor() {
+    let instance = Instance::start("master", Act::Serve);
+    let list = vec![target("s-1", instance.address, "ready")];
+    let discovery = Discovery::start(Some(list.clone()));
+    // At this limit clients have 22 descriptors.
+    let router = Router::start(&discovery, &list, 64);
+    let ask = |id: u64| {
+        let mut client = router.client();
+        assert_eq!(client.ask(&read(id, 5000)).value, format!("{id:016x}"));
+        client
+    };
+    let kept: Vec<Client> = (1..=14).map(ask).collect();
+    let began = Instant::now();
+    let evicted = |l: &mut Vec<String>| l.iter().any(|l| l.contains("reason: evicted"));
+    let mut id = 100;
+    while !router.log.change(evicted) {
+        assert!(began.elapsed() < LIMIT, "nobody makes room");
+        drop(ask(id));
+        id += 1;
+    }
+    drop(kept);
+}
+
 /// Guards usual clients against hundreds that connect and say nothing: those give way first, a connection in use
 /// stays open, new ones are served, and what says nothing for long is closed even if nobody needs its place.
 #[test]
