--- /dev/null
+++ b/pgwire/src/frame.rs
@@ -0,0 +1,75 @@
+//! Where a message ends. A length is judged as soon as it is announced, before anything behind it is kept.
+
+/// The largest row taken from an instance: one value, and what frames it.
+pub const LARGEST_ROW: usize = 64 * 1024 + 16;
+/// The largest message that carries no value.
+pub const LARGEST_WORD: usize = 16 * 1024;
+/// The largest message taken: a value of 64 KiB in hexadecimal digits, and room for the statement.
+pub const LARGEST: usize = 160 * 1024;
+/// The largest message that opens a connection.
+pub const LARGEST_STARTUP: usize = 10_000;
+
+/// Why bytes are no message.
+#[derive(Debug, Clone, thiserror::Error, PartialEq, Eq)]
+pub enum FrameError {
+    /// A length beyond what is taken, in bytes.
+    #[error("a message of {0} bytes")]
+    Oversized(usize),
+    /// A length shorter than the field that holds it.
+    #[error("a message whose length is wrong")]
+    Malformed,
+}
+
+pub(crate) fn length(bytes: &[u8], least: usize, most: usize) -> Result<Option<usize>, FrameError> {
+    let Some(field) = bytes.first_chunk::<4>() else { return Ok(None) };
+    let len = u32::from_be_bytes(*field) as usize;
+    match len {
+        _ if len < least => Err(FrameError::Malformed),
+        _ if len > most => Err(FrameError::Oversized(len)),
+        _ => Ok(Some(len)),
+    }
+}
+
+/// A message: its tag, its body, and its whole length.
+pub type Frame<'a> = (u8, &'a [u8], usize);
+
+/// The first message in `bytes`, once it is whole; its length field may say `most` bytes.
+pub fn within(bytes: &[u8], most: usize) -> Result<Option<Frame<'_>>, FrameError> {
+    let Some((&tag, rest)) = bytes.split_first() else { return Ok(None) };
+    let Some(len) = length(rest, 4, most)? else { return Ok(None) };
+    Ok(rest.get(4..len).map(|body| (tag, body, len + 1)))
+}
+
+/// The first message of a client. Only a query may be large, and where `extended` queries are taken, Parse and Bind.
+pub fn command(bytes: &[u8], extended: bool) -> Result<Option<Frame<'_>>, FrameError> {
+    let may_be_large = match bytes.first() {
+        Some(b'Q') => true,
+        Some(b'P' | b'B') => extended,
+        _ => false,
+    };
+    within(bytes, if may_be_large { LARGEST } else { LARGEST_WORD })
+}
+
+/// The first message of an instance's answer. Only a row may be large, and its value has 64 KiB at most.
+pub fn answer(bytes: &[u8]) -> Result<Option<Frame<'_>>, FrameError> {
+    within(bytes, if bytes.first() == Some(&b'D') { LARGEST_ROW } else { LARGEST_WORD })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case(&[], Ok(None))]
+    #[case(b"Q\0\0\0", Ok(None))]
+    #[case(b"Q\0\0\0\x06a", Ok(None))]
+    #[case(b"Q\0\0\0\x06a\0rest", Ok(Some((b'Q', &b"a\0"[..], 7))))]
+    #[case(b"Q\0\0\0\x03", Err(FrameError::Malformed))]
+    #[case(b"Q\x7f\0\0\0", Err(FrameError::Oversized(0x7f00_0000)))]
+    #[case(b"B\0\x01\0\0", Err(FrameError::Oversized(0x1_0000)))]
+    #[case(b"E\0\x01\0\0", Err(FrameError::Oversized(0x1_0000)))]
+    fn commands(#[case] bytes: &[u8], #[case] wanted: Result<Option<Frame>, FrameError>) {
+        assert_eq!(command(bytes, false), wanted);
+    }
+}
--- /dev/null
+++ b/statements/src/account.rs
@@ -0,0 +1,103 @@
+//! Bounds that all clients share: what one holds is counted as long as it is held.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// A bound, and how much of it is in use.
+#[derive(Debug)]
+pub struct Account {
+    used: Cell<usize>,
+    most: usize,
+}
+
+/// A part of an [`Account`] in use; given back when dropped.
+#[derive(Debug)]
+pub struct Share {
+    account: Rc<Account>,
+    amount: usize,
+}
+
+impl Account {
+    /// An account of `most`, in whatever unit its holders count.
+    pub fn new(most: usize) -> Rc<Account> {
+        Rc::new(Account { used: Cell::new(0), most })
+    }
+
+    /// Sets `amount` aside; none if that much is not left.
+    pub fn take(self: &Rc<Self>, amount: usize) -> Option<Share> {
+        let used = self.used.get().checked_add(amount).filter(|used| *used <= self.most)?;
+        self.used.set(used);
+        Some(Share { account: self.clone(), amount })
+    }
+
+    /// How much is in use.
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    /// The bound.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.account.used.set(self.account.used.get() - self.amount);
+    }
+}
+
+/// The bounds of prepared statements, portals and pipelines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Prepared statements of one client.
+    pub statements: usize,
+    /// Prepared statements of all clients, each client's counted.
+    pub all_statements: usize,
+    /// Bytes of different statement texts, all clients together.
+    pub text_bytes: usize,
+    /// Portals of one client.
+    pub portals: usize,
+    /// Bytes of values bound to the portals of all clients.
+    pub value_bytes: usize,
+    /// Commands of one client that wait for their turn or their answer; beyond it no more are read meanwhile.
+    pub commands: usize,
+    /// Commands in one segment, up to its Sync.
+    pub segment: usize,
+    /// Reads of one client that run at once.
+    pub reads: usize,
+    /// Statements prepared on one connection to an instance.
+    pub prepared: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            statements: 256,
+            all_statements: 65_536,
+            text_bytes: 4 << 20,
+            portals: 64,
+            value_bytes: 8 << 20,
+            commands: 256,
+            segment: 1024,
+            reads: 16,
+            prepared: 128,
+        }
+    }
+}
+
+/// The accounts behind the bounds that all clients share.
+#[derive(Debug, Clone)]
+pub struct Accounts {
+    /// Of [`Limits::all_statements`].
+    pub statements: Rc<Account>,
+    /// Of [`Limits::value_bytes`].
+    pub values: Rc<Account>,
+}
+
+impl Accounts {
+    /// Accounts with nothing in use.
+    pub fn new(limits: &Limits) -> Accounts {
+        Accounts { statements: Account::new(limits.all_statements), values: Account::new(limits.value_bytes) }
+    }
+}
--- /dev/null
+++ b/statements/src/bound.rs
@@ -0,0 +1,469 @@
+//! A statement with its values, as instances are asked: in their own form, so that any front can make one and any
+//! instance side can carry it out.
+
+use crate::Wrong;
+use crate::account::{Accounts, Share};
+use crate::admit::Named;
+use crate::form::{self, Place};
+use crate::template::{Kind, Request, Slot, Template};
+use reelrill::Span;
+use reelrill_pgwire::frontend::{self, Bind};
+use reelrill_pgwire::{Format, oid};
+use std::borrow::Cow;
+use std::fmt::Write as _;
+use std::ops::Range;
+use std::rc::Rc;
+
+/// What an instance is to be asked.
+#[derive(Debug)]
+pub enum Ask {
+    /// A statement in words, as a simple query.
+    Simple(Simple),
+    /// A prepared statement and its values.
+    Bound(Bound),
+}
+
+/// A statement in words, in which only the waiting time may change.
+#[derive(Debug)]
+pub struct Simple {
+    text: Vec<u8>,
+    wait_digits: Range<usize>,
+}
+
+/// The time that the router will wait, in whole milliseconds, as instances are told it.
+fn wait_ms(wait: Span) -> u64 {
+    (wait / 1_000_000).max(1)
+}
+
+impl Simple {
+    /// `wait_digits` is where the waiting time, in milliseconds, stands in `text`.
+    pub fn new(text: Vec<u8>, wait_digits: Range<usize>) -> Simple {
+        Simple { text, wait_digits }
+    }
+
+    /// The text with the time that the router will wait.
+    pub fn with_wait(&self, wait: Span) -> Vec<u8> {
+        let mut text = Vec::with_capacity(self.text.len() + 8);
+        text.extend_from_slice(&self.text[..self.wait_digits.start]);
+        text.extend_from_slice(wait_ms(wait).to_string().as_bytes());
+        text.extend_from_slice(&self.text[self.wait_digits.end..]);
+        text
+    }
+}
+
+/// A prepared statement and its values.
+#[derive(Debug)]
+pub struct Bound {
+    template: Rc<Template>,
+    bytes: Vec<u8>,
+    /// Of the parameters that the client brought.
+    values: Vec<(Format, Option<Range<usize>>)>,
+    result: Format,
+    /// The name that the request goes by, where the client brought none.
+    drawn: u64,
+    _share: Share,
+}
+
+/// A parameter as text that can be read as a number or a word; none: it is no such thing.
+fn words(oid: u32, format: Format, value: &[u8]) -> Option<Cow<'_, str>> {
+    if format == Format::Text || oid::is_text(oid) {
+        return std::str::from_utf8(value).ok().map(Cow::Borrowed);
+    }
+    let number = match (oid, value.len()) {
+        (oid::BOOL, 1) => value[0].into(),
+        (oid::INT2, 2) => i16::from_be_bytes(value.try_into().ok()?).into(),
+        (oid::INT4, 4) => i32::from_be_bytes(value.try_into().ok()?).into(),
+        (oid::INT8, 8) => i64::from_be_bytes(value.try_into().ok()?),
+        _ => return None,
+    };
+    Some(Cow::Owned(number.to_string()))
+}
+
+/// A whole number in a parameter's type and format; one that does not fit is the largest that does.
+fn number_in(oid: u32, format: Format, number: u64) -> Vec<u8> {
+    match (oid, format) {
+        (oid::INT2, Format::Binary) => i16::try_from(number).unwrap_or(i16::MAX).to_be_bytes().into(),
+        (oid::INT4, Format::Binary) => i32::try_from(number).unwrap_or(i32::MAX).to_be_bytes().into(),
+        (oid::INT8, Format::Binary) => i64::try_from(number).unwrap_or(i64::MAX).to_be_bytes().into(),
+        (oid::INT2, Format::Text) => number.min(i16::MAX as u64).to_string().into_bytes(),
+        _ => number.to_string().into_bytes(),
+    }
+}
+
+/// A request's name in a parameter's type and format: as an integer it is the same 64 bits.
+fn id_in(oid: u32, format: Format, id: u64) -> Vec<u8> {
+    match (oid, format) {
+        (oid::INT8, Format::Binary) => id.to_be_bytes().into(),
+        (oid::INT8, Format::Text) => (id as i64).to_string().into_bytes(),
+        _ => format!("{id:016x}").into_bytes(),
+    }
+}
+
+impl Bound {
+    /// Takes a statement's values from a Bind. `drawn` names the request where the client does not.
+    pub fn new(
+        template: &Rc<Template>,
+        bind: &Bind,
+        drawn: u64,
+        accounts: &Accounts,
+    ) -> Result<Bound, Wrong> {
+        let takes = template.types().len();
+        if bind.values.len() != takes {
+            return Err(Wrong::Count { brought: bind.values.len(), takes });
+        }
+        if bind.formats.len() > 1 && bind.formats.len() != takes {
+            return Err(Wrong::Formats(bind.formats.len()));
+        }
+        if bind.results.len() > 1 {
+            return Err(Wrong::Formats(bind.results.len()));
+        }
+        let len = bind.values.iter().flatten().map(|v| v.len()).sum();
+        let most = accounts.values.most();
+        let share = accounts.values.take(len).ok_or(Wrong::Limit { what: "bytes of values", most })?;
+        let mut bytes = Vec::with_capacity(len);
+        let mut keep = |(i, value): (usize, &Option<&[u8]>)| {
+            let range = value.map(|v| {
+                bytes.extend_from_slice(v);
+                bytes.len() - v.len()..bytes.len()
+            });
+            (bind.format(i), range)
+        };
+        let values = bind.values.iter().enumerate().map(&mut keep).collect();
+        Ok(Bound { template: template.clone(), bytes, values, result: bind.result(0), drawn, _share: share })
+    }
+
+    /// The statement.
+    pub fn template(&self) -> &Template {
+        &self.template
+    }
+
+    /// The format that the client wants its value in.
+    pub fn result(&self) -> Format {
+        self.result
+    }
+
+    fn request(&self) -> Option<&Request> {
+        if let Kind::Request(r) = &self.template.kind { Some(r) } else { None }
+    }
+
+    fn value(&self, index: usize) -> Option<&[u8]> {
+        self.values.get(index)?.1.clone().and_then(|range| self.bytes.get(range))
+    }
+
+    fn format(&self, index: usize) -> Format {
+        self.values.get(index).map_or(Format::Text, |v| v.0)
+    }
+
+    /// The word at a place: none if it is not there or null.
+    fn word<'a>(&'a self, r: &'a Request, place: Place) -> Result<Option<Cow<'a, str>>, Wrong> {
+        match r.slots.iter().find(|(p, _)| *p == place) {
+            None => Ok(None),
+            Some((_, Slot::Text(text))) => Ok(Some(Cow::Borrowed(text))),
+            Some((_, Slot::Param(index))) => match self.value(*index) {
+                None => Ok(None),
+                Some(value) => words(r.types[*index], self.format(*index), value)
+                    .map(Some)
+                    .ok_or(Wrong::Value(place.name())),
+            },
+        }
+    }
+
+    fn number<T: std::str::FromStr>(&self, r: &Request, place: Place) -> Result<Option<T>, Wrong> {
+        let Some(word) = self.word(r, place)? else { return Ok(None) };
+        form::number(&word).map(Some).ok_or(Wrong::Value(place.name()))
+    }
+
+    /// The request's name as the client brought it.
+    fn id(&self, r: &Request) -> Result<Option<u64>, Wrong> {
+        let Some(word) = self.word(r, Place::Id)? else { return Ok(None) };
+        let is_integer = r.slots.iter().any(
+            |(place, slot)| matches!(slot, Slot::Param(i) if *place == Place::Id && r.types[*i] == oid::INT8),
+        );
+        let id = if is_integer { word.parse::<i64>().ok().map(|i| i as u64) } else { form::id(&word) };
+        id.map(Some).ok_or(Wrong::Value("id"))
+    }
+
+    /// Reads what the request says of itself and has `use_it` judge it.
+    pub fn named<T>(&self, use_it: impl FnOnce(&Named) -> Result<T, Wrong>) -> Result<T, Wrong> {
+        let Some(r) = self.request() else { return Err(Wrong::Value("statement")) };
+        let needed = |place: Place| self.word(r, place)?.ok_or(Wrong::Null(place.name()));
+        let (class, key) = (needed(Place::Class)?, needed(Place::Key)?);
+        if r.is_write {
+            let value = r.slots.iter().find(|(p, _)| *p == Place::Value);
+            if let Some((_, Slot::Param(index))) = value {
+                self.check_value(r, *index)?;
+            }
+        }
+        let retry = self.word(r, Place::Retry)?;
+        let named = Named {
+            id: Some(self.id(r)?.unwrap_or(self.drawn)),
+            class: &class,
+            group: self.number(r, Place::Group)?.ok_or(Wrong::Null("cluster"))?,
+            wait_ms: self.number(r, Place::Wait)?.or(self.fixed_wait(r)?),
+            after_ms: self.number(r, Place::After)?,
+            is_retry: retry.is_some_and(|r| ["1", "t", "true"].contains(&&*r)),
+            has_key: self.word(r, Place::Idempotency)?.is_some_and(|k| !k.is_empty()),
+            is_write: r.is_write,
+            key: &key,
+        };
+        use_it(&named)
+    }
+
+    /// The waiting time that stands in the text itself; its parameter is the router's own.
+    fn fixed_wait(&self, r: &Request) -> Result<Option<u64>, Wrong> {
+        match r.slots.iter().find(|(p, _)| *p == Place::Wait) {
+            Some((_, Slot::Text(t))) => form::number(t).map(Some).ok_or(Wrong::Value("d")),
+            _ => Ok(None),
+        }
+    }
+
+    fn check_value(&self, r: &Request, index: usize) -> Result<(), Wrong> {
+        let value = self.value(index).ok_or(Wrong::Null("data"))?;
+        let is_good = if r.types[index] == oid::BYTEA && self.format(index) == Format::Binary {
+            value.len() <= form::LARGEST_VALUE
+        } else {
+            std::str::from_utf8(value).is_ok_and(form::is_value)
+        };
+        if is_good { Ok(()) } else { Err(Wrong::Value("data")) }
+    }
+
+    /// Appends the Bind of the unnamed portal, with the time that the router will wait.
+    pub fn put_bind(&self, out: &mut Vec<u8>, wait: Span) {
+        let Some(r) = self.request() else { return };
+        let wait = number_in(r.types[r.wait], self.format(r.wait), wait_ms(wait));
+        let id_at = r.marks.iter().find(|(_, place, _)| *place == Place::Id).map(|m| m.2);
+        let id = id_at.map_or(Vec::new(), |i| id_in(r.types[i], self.format(i), self.drawn));
+        let value = |i: usize| {
+            let brought = self.value(i);
+            let value = match brought {
+                _ if i == r.wait => Some(&wait[..]),
+                None if Some(i) == id_at => Some(&id[..]),
+                other => other,
+            };
+            (self.format(i), value)
+        };
+        let values = (0..r.types.len()).map(value);
+        frontend::put_bind(out, "", &self.template.name(), values, self.result);
+    }
+
+    /// The same as a simple query: values become literals where that can be done without doubt, else it is refused.
+    pub fn literally(&self) -> Result<Simple, Wrong> {
+        let Some(r) = self.request() else { return Err(Wrong::Value("statement")) };
+        let (mut out, mut from, mut digits) = (String::with_capacity(r.text.len() + 64), 0, 0..0);
+        for (range, place, index) in &r.marks {
+            out.push_str(&r.text[from..range.start]);
+            from = range.end;
+            let start = out.len();
+            match place {
+                Place::Wait => out.push('1'),
+                Place::Key | Place::Value => self.put_literal(&mut out, r, *place, *index)?,
+                Place::Id => {
+                    let _ = write!(out, "{:016x}", self.id(r)?.unwrap_or(self.drawn));
+                }
+                _ => self.put_word(&mut out, r, *place, *index)?,
+            }
+            if *place == Place::Wait {
+                digits = start..out.len();
+            }
+        }
+        out.push_str(&r.text[from..]);
+        Ok(Simple::new(out.into_bytes(), digits))
+    }
+
+    /// A quoted literal. Instances may read a backslash in one way or another, so there must be none but the one
+    /// that begins the digits of bytes.
+    fn put_literal(&self, out: &mut String, r: &Request, place: Place, index: usize) -> Result<(), Wrong> {
+        let value = self.value(index).ok_or(Wrong::Null(place.name()))?;
+        out.push('\'');
+        if r.types[index] == oid::BYTEA && self.format(index) == Format::Binary {
+            out.push_str("\\x");
+            for byte in value {
+                let _ = write!(out, "{byte:02x}");
+            }
+        } else {
+            let text = std::str::from_utf8(value).map_err(|_| Wrong::Literal(place.name()))?;
+            let is_bytes = place == Place::Value && text.starts_with("\\x") && form::is_value(text);
+            if text.contains('\0') || (text.contains('\\') && !is_bytes) {
+                return Err(Wrong::Literal(place.name()));
+            }
+            out.push_str(&text.replace('\'', "''"));
+        }
+        out.push('\'');
+        Ok(())
+    }
+
+    /// A word in the comment: nothing that could end it, or make another pair of it. A comment can't say that a
+    /// word is not there; where 0 means the same, a null becomes one.
+    fn put_word(&self, out: &mut String, r: &Request, place: Place, index: usize) -> Result<(), Wrong> {
+        let word = match self.value(index) {
+            Some(value) => words(r.types[index], self.format(index), value),
+            None if matches!(place, Place::After | Place::Retry) => Some(Cow::Borrowed("0")),
+            None => None,
+        };
+        let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+        let word = word.filter(|w| !w.is_empty() && w.chars().all(is_plain));
+        out.push_str(&word.ok_or(Wrong::Literal(place.name()))?);
+        Ok(())
+    }
+}
+
+/// A value that an instance gave in one format, in the format that the client asked for. None: it can't be said
+/// in that format.
+pub fn convert(value: &[u8], oid: u32, from: Format, to: Format) -> Option<Cow<'_, [u8]>> {
+    if from == to || oid::is_text(oid) {
+        return Some(Cow::Borrowed(value));
+    }
+    if oid != oid::BYTEA {
+        return None;
+    }
+    if to == Format::Text {
+        let mut text = String::with_capacity(2 + value.len() * 2);
+        text.push_str("\\x");
+        for byte in value {
+            let _ = write!(text, "{byte:02x}");
+        }
+        return Some(Cow::Owned(text.into_bytes()));
+    }
+    let digits = value.strip_prefix(b"\\x")?;
+    let digit = |d: u8| char::from(d).to_digit(16).map(|d| d as u8);
+    let (pairs, []) = digits.as_chunks::<2>() else { return None };
+    pairs.iter().map(|[a, b]| Some(digit(*a)? << 4 | digit(*b)?)).collect::<Option<Vec<u8>>>().map(Cow::Owned)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::account::Limits;
+    use crate::admit::tests::catalog;
+    use crate::template::Templates;
+    use proptest::prelude::*;
+    use reelrill_pgwire::frame;
+    use reelrill_pgwire::frontend::Command;
+    use rstest::rstest;
+
+    const WRITE: &str = "INSERT INTO facts (code, data) VALUES ($1, $2) RETURNING data \
+                         /* id=$3,c=book,d=$4,cluster=$5,k=$6 */";
+
+    fn bound(
+        text: &str,
+        types: &[u32],
+        formats: &[Format],
+        values: &[Option<&[u8]>],
+    ) -> Result<Bound, Wrong> {
+        let template = Templates::new(1 << 20, oid::BYTEA).get(text, types)?;
+        let (formats, values) = (formats.to_vec(), values.to_vec());
+        let bind = Bind { portal: "", statement: "", formats, values, results: vec![Format::Binary] };
+        Bound::new(&template, &bind, 0xabc, &Accounts::new(&Limits::default()))
+    }
+
+    const BINARY: [Format; 1] = [Format::Binary];
+
+    /// The values of the Bind that an instance gets.
+    fn sent(bound: &Bound, wait: Span) -> Vec<Option<Vec<u8>>> {
+        let mut out = Vec::new();
+        bound.put_bind(&mut out, wait);
+        let (tag, body, _) = frame::command(&out, true).unwrap().unwrap();
+        let Ok(Command::Bind(bind)) = frontend::read(tag, body) else { panic!("no bind") };
+        bind.values.iter().map(|v| v.map(<[u8]>::to_vec)).collect()
+    }
+
+    #[test]
+    fn text_and_binary_integers_name_the_same_request() {
+        let id = 0xfedc_ba98_7654_3210_u64;
+        let text: [Option<&[u8]>; 6] =
+            [Some(b"s"), Some(b"\\x01"), Some(b"fedcba9876543210"), Some(b"480"), Some(b"2"), Some(b"k1")];
+        let (wait, group) = (480i64.to_be_bytes(), 2i16.to_be_bytes());
+        let binary: [Option<&[u8]>; 6] =
+            [Some(b"s"), Some(b"\x01"), Some(&id.to_be_bytes()), Some(&wait), Some(&group), Some(b"k1")];
+        let types = [0, 0, oid::INT8, oid::INT8, oid::INT2];
+        let admit = |b: &Bound| b.named(|n| catalog().admit(n)).unwrap();
+        let one = bound(WRITE, &[], &[], &text).unwrap();
+        let other = bound(WRITE, &types, &BINARY, &binary).unwrap();
+        assert_eq!(admit(&one), admit(&other));
+        assert_eq!((admit(&one).id, admit(&one).group, admit(&one).wait), (Some(id), 2, 480_000_000));
+        assert_eq!(sent(&one, 77_900_000)[3], Some(b"77".to_vec()));
+        assert_eq!(sent(&other, 77_900_000)[3], Some(77i64.to_be_bytes().to_vec()));
+        let (one, other) = (one.literally().unwrap(), other.literally().unwrap());
+        assert_eq!(one.with_wait(5_000_000), other.with_wait(5_000_000));
+        assert_eq!(
+            String::from_utf8(one.with_wait(5_000_000)).unwrap(),
+            "INSERT INTO facts (code, data) VALUES ('s', '\\x01') RETURNING data \
+             /* id=fedcba9876543210,c=book,d=5,cluster=2,k=k1 */"
+        );
+    }
+
+    #[test]
+    fn what_the_client_leaves_open_the_router_fills_in() {
+        let text = "SELECT data FROM facts WHERE code = $1 /* c=board,cluster=2,id=$2 */";
+        let b = bound(text, &[], &[], &[Some(b"s"), None]).unwrap();
+        let admitted = b.named(|n| catalog().admit(n)).unwrap();
+        assert_eq!((admitted.id, admitted.wait), (Some(0xabc), 1_000_000_000));
+        let wanted = [&b"s"[..], b"0000000000000abc", b"250"].map(|v| Some(v.to_vec()));
+        assert_eq!(sent(&b, 250_000_000), wanted);
+    }
+
+    #[rstest]
+    #[case(&[Some("s")], Wrong::Count { brought: 1, takes: 6 })]
+    #[case(&[None, Some("v"), None, None, Some("2"), Some("k")], Wrong::Null("code"))]
+    #[case(&[Some("s"), None, None, None, Some("2"), Some("k")], Wrong::Null("data"))]
+    #[case(&[Some("s"), Some("\\xz"), None, None, Some("2"), Some("k")], Wrong::Value("data"))]
+    #[case(&[Some("s"), Some("v"), Some("1"), None, Some("2"), Some("k")], Wrong::Value("id"))]
+    #[case(&[Some("s"), Some("v"), None, Some("-5"), Some("2"), Some("k")], Wrong::Value("d"))]
+    #[case(&[Some("s"), Some("v"), None, Some("0"), Some("2"), Some("k")], Wrong::Value("d"))]
+    #[case(&[Some("s"), Some("v"), None, None, None, Some("k")], Wrong::Null("cluster"))]
+    #[case(&[Some("s"), Some("v"), None, None, Some("2"), None], Wrong::Value("k"))]
+    fn values_that_do_not_fit_are_named(#[case] values: &[Option<&str>], #[case] wanted: Wrong) {
+        let values: Vec<_> = values.iter().map(|v| v.map(str::as_bytes)).collect();
+        let found = bound(WRITE, &[], &[], &values).and_then(|b| b.named(|n| catalog().admit(n)));
+        assert_eq!(found.err(), Some(wanted));
+    }
+
+    #[rstest]
+    #[case(b"it's", b"k", None)]
+    #[case(b"\xff", b"k", Some("code"))]
+    #[case(b"a\\b", b"k", Some("code"))]
+    #[case(b"a\0b", b"k", Some("code"))]
+    #[case(b"s", b"k*/", Some("k"))]
+    #[case(b"s", b"k,c=x", Some("k"))]
+    #[case(b"s", b"", Some("k"))]
+    fn only_what_is_safe_becomes_a_literal(
+        #[case] code: &[u8],
+        #[case] k: &[u8],
+        #[case] at: Option<&'static str>,
+    ) {
+        let b = bound(WRITE, &[], &[], &[Some(code), Some(b"v"), None, None, Some(b"2"), Some(k)]).unwrap();
+        assert_eq!(b.literally().err(), at.map(Wrong::Literal));
+    }
+
+    #[test]
+    fn values_come_in_the_format_that_was_asked_for() {
+        let turn = |v: &'static [u8], from, to| convert(v, oid::BYTEA, from, to).map(Cow::into_owned);
+        assert_eq!(turn(b"\\x9F03", Format::Text, Format::Binary), Some(vec![0x9f, 3]));
+        assert_eq!(turn(&[0x9f, 3], Format::Binary, Format::Text), Some(b"\\x9f03".to_vec()));
+        assert_eq!(turn(b"\\x9", Format::Text, Format::Binary), None);
+        assert_eq!(convert(b"a", oid::TEXT, Format::Text, Format::Binary), Some(Cow::Borrowed(&b"a"[..])));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 1000,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        })]
+
+        /// Whatever the values are, what becomes a simple query is one that the simple front takes, with the same
+        /// key: nothing in a value ends its literal.
+        #[test]
+        fn a_literal_is_read_back_as_it_was(code in "\\PC{0,20}", data in "[ -~]{0,20}", k in "\\PC{0,10}") {
+            let values = [Some(code.as_bytes()), Some(data.as_bytes()), None, None, Some(&b"2"[..]), Some(k.as_bytes())];
+            let b = bound(WRITE, &[], &[], &values).unwrap();
+            if let Ok(simple) = b.literally() {
+                let text = String::from_utf8(simple.with_wait(9_000_000)).unwrap();
+                let (named, _) = Named::simple(&text).unwrap();
+                prop_assert_eq!(named.key.replace("''", "'"), code);
+                prop_assert_eq!((named.id, named.wait_ms, named.group), (Some(0xabc), Some(9), 2));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/statements/src/lib.rs
@@ -0,0 +1,121 @@
+//! What clients say, without I/O: the one form of statement that is spoken here, the names and values in its
+//! comment, prepared statements and portals, and the order in which a pipeline's parts may run.
+//!
+//! | module | what it decides |
+//! | --- | --- |
+//! | [`form`] | whether a text is a statement of ours, and where its words stand |
+//! | [`template`] | a prepared statement: its parameters' types and the text that instances get; one for all clients |
+//! | [`bound`] | a statement with its values: what goes into a Bind, or into a simple query as literals |
+//! | [`admit`] | whether a request makes sense, and what the decider is told of it |
+//! | [`plan`] | a client's names and its pipeline: what may start, what is answered, what is skipped |
+//! | [`prepared`] | what a connection to an instance has prepared, and what has to go first |
+//! | [`account`] | the bounds that all clients share |
+#![forbid(unsafe_code)]
+
+pub mod account;
+pub mod admit;
+pub mod bound;
+pub mod form;
+pub mod plan;
+pub mod prepared;
+pub mod template;
+
+use reelrill_pgwire::code;
+
+/// Why a command is refused. The text names the thing at fault; [`Wrong::code`] is what the client gets with it.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Wrong {
+    /// The text is no statement of ours.
+    #[error(transparent)]
+    Form(#[from] form::FormError),
+    /// A statement that is known and not supported.
+    #[error("{0} is not supported here: each statement stands for itself")]
+    Unsupported(String),
+    /// Nothing tells the type of a parameter.
+    #[error("parameter ${0}: neither its place nor the Parse tells its type")]
+    NoType(u16),
+    /// A declared type that does not go with the parameter's place.
+    #[error("parameter ${param}: type {oid} does not go with '{place}'")]
+    Type {
+        /// Counted from 1.
+        param: u16,
+        /// The type as declared.
+        oid: u32,
+        /// The name in the comment, or the column.
+        place: &'static str,
+    },
+    /// The waiting time is rewritten for each attempt, so nothing else may read its parameter.
+    #[error("parameter ${0}: the one of 'd' may stand for nothing else")]
+    Shared(u16),
+    /// A Bind with another number of parameters than its statement has.
+    #[error("the Bind brings {brought} parameters, the statement takes {takes}")]
+    Count {
+        /// In the Bind.
+        brought: usize,
+        /// In the statement.
+        takes: usize,
+    },
+    /// More formats than values.
+    #[error("the Bind brings {0} formats, which fit neither its parameters nor its one column")]
+    Formats(usize),
+    /// A value that must be there is null.
+    #[error("'{0}' is null")]
+    Null(&'static str),
+    /// A value that makes no sense in its place.
+    #[error("'{0}': missing or wrong")]
+    Value(&'static str),
+    /// A value that can't be written as a literal without doubt.
+    #[error("'{0}': this value can't be written safely as a literal")]
+    Literal(&'static str),
+    /// A class that the settings do not name.
+    #[error("unknown class '{0}'")]
+    Class(String),
+    /// A class that reads where the statement writes, or the other way round.
+    #[error("class '{0}' does not go with this statement")]
+    Kind(String),
+    /// No statement of this name.
+    #[error("prepared statement \"{0}\" does not exist")]
+    NoStatement(String),
+    /// No portal of this name.
+    #[error("portal \"{0}\" does not exist")]
+    NoPortal(String),
+    /// The name is in use.
+    #[error("prepared statement \"{0}\" already exists")]
+    StatementExists(String),
+    /// The name is in use.
+    #[error("portal \"{0}\" already exists")]
+    PortalExists(String),
+    /// A write that has run is not run again.
+    #[error("portal \"{0}\" has run; a Bind makes a new one")]
+    PortalDone(String),
+    /// A bound is reached.
+    #[error("too many {what}: {most} at most")]
+    Limit {
+        /// What there is too much of.
+        what: &'static str,
+        /// The bound.
+        most: usize,
+    },
+}
+
+impl Wrong {
+    /// The error code that goes with it.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Wrong::Form(_) | Wrong::Class(_) | Wrong::Kind(_) => code::SYNTAX,
+            Wrong::Unsupported(_) => code::UNSUPPORTED,
+            Wrong::NoType(_) => code::NO_TYPE,
+            Wrong::Type { .. } | Wrong::Shared(_) => code::WRONG_TYPE,
+            Wrong::Count { .. } | Wrong::Formats(_) => code::PROTOCOL_VIOLATION,
+            Wrong::Null(_) => code::NULL,
+            Wrong::Value(_) => code::WRONG_VALUE,
+            Wrong::Literal(_) => code::UNSUPPORTED,
+            Wrong::NoStatement(_) => code::NO_STATEMENT,
+            Wrong::NoPortal(_) => code::NO_PORTAL,
+            Wrong::StatementExists(_) => code::STATEMENT_EXISTS,
+            Wrong::PortalExists(_) => code::PORTAL_EXISTS,
+            Wrong::PortalDone(_) => code::PORTAL_DONE,
+            Wrong::Limit { .. } => code::LIMIT,
+        }
+    }
+}
--- /dev/null
+++ b/statements/src/prepared.rs
@@ -0,0 +1,81 @@
+//! What one connection to an instance has prepared. Names are never used again for another text, so a Close that
+//! is lost with its connection leaves nothing behind that could be mistaken.
+
+use lru::LruCache;
+use std::num::NonZeroUsize;
+
+/// What a run of a statement takes on this connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    /// It is prepared here.
+    Ready,
+    /// It must be prepared first, and before it the statement named here must go.
+    Prepare {
+        /// The one not used for longest.
+        evict: Option<u64>,
+    },
+}
+
+/// The statements prepared on one connection, by their templates' numbers.
+#[derive(Debug)]
+pub struct Prepared(LruCache<u64, ()>);
+
+impl Prepared {
+    /// Nothing is prepared; at most `most` will be (one, if that is 0).
+    pub fn new(most: usize) -> Prepared {
+        // The table is made as it is needed: most connections use few statements.
+        let mut cache = LruCache::unbounded();
+        cache.resize(NonZeroUsize::new(most).unwrap_or(NonZeroUsize::MIN));
+        Prepared(cache)
+    }
+
+    /// What a run of this template takes. One that must go counts as gone from here on: its Close is written
+    /// ahead of all that follows.
+    pub fn need(&mut self, id: u64) -> Need {
+        if self.0.get(&id).is_some() {
+            return Need::Ready;
+        }
+        let is_full = self.0.len() >= self.0.cap().get();
+        Need::Prepare { evict: if is_full { self.0.pop_lru().map(|(id, ())| id) } else { None } }
+    }
+
+    /// The instance has confirmed it.
+    pub fn confirmed(&mut self, id: u64) {
+        self.0.put(id, ());
+    }
+
+    /// The instance says that it does not have it.
+    pub fn forgotten(&mut self, id: u64) {
+        self.0.pop(&id);
+    }
+
+    /// How many are prepared.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_one_not_used_for_longest_goes_first() {
+        let mut p = Prepared::new(2);
+        for id in [1, 2] {
+            assert_eq!(p.need(id), Need::Prepare { evict: None });
+            p.confirmed(id);
+        }
+        assert_eq!(p.need(1), Need::Ready);
+        assert_eq!(p.need(3), Need::Prepare { evict: Some(2) });
+        p.confirmed(3);
+        assert_eq!(p.need(2), Need::Prepare { evict: Some(1) });
+        p.forgotten(3);
+        assert!(p.is_empty());
+    }
+}
--- /dev/null
+++ b/statements/src/template.rs
@@ -0,0 +1,404 @@
+//! A prepared statement, read once and shared by all that have prepared the same text with the same types.
+//!
+//! The text that instances get is the client's, but for two words. A `d` that stands there as digits becomes a
+//! parameter, and an `id` or a `d` that is missing is added as one: each Bind can then say how long the router
+//! waits, and under which name the request runs, while the text stays the same and is prepared once.
+
+use crate::Wrong;
+use crate::form::{Form, FormError, Place, Word};
+use reelrill_pgwire::frontend::MOST_PARAMETERS;
+use reelrill_pgwire::oid;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::ops::Range;
+use std::rc::{Rc, Weak};
+
+/// What a template takes beside its texts, in bytes, as the bound counts it.
+const OVERHEAD: usize = 512;
+
+/// A statement that has no effect on instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Utility {
+    /// SET or RESET: taken, without effect.
+    Setting(&'static str),
+    /// DISCARD ALL: all statements of the client go.
+    DiscardAll,
+    /// DEALLOCATE of one statement, or of all.
+    Deallocate(Option<Box<str>>),
+}
+
+impl Utility {
+    /// Reads such a statement; none if it is something else.
+    pub fn read(text: &str) -> Option<Result<Utility, Wrong>> {
+        let text = text.trim_matches(|c: char| c.is_whitespace() || c == ';');
+        let mut words = text.split_whitespace();
+        let first = words.next()?.to_ascii_uppercase();
+        let mut rest: Vec<&str> = words.collect();
+        Some(Ok(match &*first {
+            "SET" => Utility::Setting("SET"),
+            "RESET" => Utility::Setting("RESET"),
+            "DISCARD" if rest.len() == 1 && rest[0].eq_ignore_ascii_case("all") => Utility::DiscardAll,
+            "DEALLOCATE" => {
+                if rest.first().is_some_and(|w| w.eq_ignore_ascii_case("prepare")) {
+                    rest.remove(0);
+                }
+                match &rest[..] {
+                    [all] if all.eq_ignore_ascii_case("all") => Utility::Deallocate(None),
+                    // A name without quotes is folded, as servers of this protocol do.
+                    [name] => Utility::Deallocate(Some(match name.strip_prefix('"') {
+                        Some(quoted) => quoted.strip_suffix('"')?.replace("\"\"", "\"").into(),
+                        None => name.to_ascii_lowercase().into(),
+                    })),
+                    _ => return None,
+                }
+            }
+            "BEGIN" | "START" | "COMMIT" | "END" | "ROLLBACK" | "ABORT" | "SAVEPOINT" | "RELEASE"
+            | "COPY" | "DECLARE" | "FETCH" | "MOVE" | "CLOSE" | "PREPARE" | "EXECUTE" | "LISTEN"
+            | "NOTIFY" | "LOCK" | "DISCARD" => return Some(Err(Wrong::Unsupported(first))),
+            _ => return None,
+        }))
+    }
+
+    /// What CommandComplete says.
+    pub fn tag(&self) -> &'static str {
+        match self {
+            Utility::Setting(tag) => tag,
+            Utility::DiscardAll => "DISCARD ALL",
+            Utility::Deallocate(None) => "DEALLOCATE ALL",
+            Utility::Deallocate(Some(_)) => "DEALLOCATE",
+        }
+    }
+}
+
+/// A word of a prepared statement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Slot {
+    /// The same in each run.
+    Text(Box<str>),
+    /// Brought by each Bind; counted from 0.
+    Param(usize),
+}
+
+/// A prepared statement that is a request.
+#[derive(Debug)]
+pub struct Request {
+    /// What instances get, with the parameters that the router adds.
+    pub text: Box<str>,
+    /// The types of all parameters, the added ones last.
+    pub types: Vec<u32>,
+    /// How many of them clients bring.
+    pub given: usize,
+    /// The words that the router reads.
+    pub slots: Vec<(Place, Slot)>,
+    /// Where parameters stand in `text`.
+    pub marks: Vec<(Range<usize>, Place, usize)>,
+    /// It writes.
+    pub is_write: bool,
+    /// The parameter that brings the waiting time.
+    pub wait: usize,
+}
+
+/// What a prepared statement is.
+#[derive(Debug)]
+pub enum Kind {
+    /// A request: goes to instances.
+    Request(Request),
+    /// Handled by the router alone.
+    Utility(Utility),
+    /// An empty statement.
+    Empty,
+}
+
+/// A prepared statement.
+#[derive(Debug)]
+pub struct Template {
+    /// Never given to another one.
+    pub id: u64,
+    /// What it is.
+    pub kind: Kind,
+    source: Box<str>,
+    declared: Box<[u32]>,
+    hash: u64,
+    cost: usize,
+    store: Weak<RefCell<Inner>>,
+}
+
+impl Template {
+    /// The types of the parameters that clients bring.
+    pub fn types(&self) -> &[u32] {
+        match &self.kind {
+            Kind::Request(r) => &r.types[..r.given],
+            _ => &[],
+        }
+    }
+
+    /// Its name on connections to instances.
+    pub fn name(&self) -> String {
+        name(self.id)
+    }
+}
+
+/// The name of a template on connections to instances.
+pub fn name(id: u64) -> String {
+    format!("r{id:x}")
+}
+
+impl Drop for Template {
+    fn drop(&mut self) {
+        let Some(store) = self.store.upgrade() else { return };
+        let mut store = store.borrow_mut();
+        store.bytes -= self.cost;
+        if let Some(bucket) = store.buckets.get_mut(&self.hash) {
+            bucket.retain(|t| t.strong_count() > 0);
+            if bucket.is_empty() {
+                store.buckets.remove(&self.hash);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    /// By the hash of text and types; a weak end, so that the last holder takes the template with it.
+    buckets: HashMap<u64, Vec<Weak<Template>>>,
+    hasher: RandomState,
+    bytes: usize,
+    most: usize,
+    next: u64,
+    data: u32,
+}
+
+/// All prepared statements of a router, each kept once.
+#[derive(Debug, Clone)]
+pub struct Templates(Rc<RefCell<Inner>>);
+
+impl Templates {
+    /// A store for `most` bytes; `data` is the type of the column that is read and written.
+    pub fn new(most: usize, data: u32) -> Templates {
+        let (buckets, hasher) = (HashMap::new(), RandomState::new());
+        Templates(Rc::new(RefCell::new(Inner { buckets, hasher, bytes: 0, most, next: 1, data })))
+    }
+
+    /// The one template for a text and the types that its Parse declares (0: left open).
+    pub fn get(&self, text: &str, declared: &[u32]) -> Result<Rc<Template>, Wrong> {
+        let hash = self.0.borrow().hasher.hash_one((text, declared));
+        let known = self.0.borrow().buckets.get(&hash).and_then(|bucket| {
+            let same = |t: &Rc<Template>| *t.source == *text && *t.declared == *declared;
+            bucket.iter().filter_map(Weak::upgrade).find(same)
+        });
+        if let Some(known) = known {
+            return Ok(known);
+        }
+        let kind = read(text, declared, self.0.borrow().data)?;
+        let sent = if let Kind::Request(r) = &kind { r.text.len() } else { 0 };
+        let cost = OVERHEAD + text.len() + sent;
+        let mut inner = self.0.borrow_mut();
+        if inner.bytes + cost > inner.most {
+            return Err(Wrong::Limit { what: "bytes of statement texts", most: inner.most });
+        }
+        inner.bytes += cost;
+        let id = inner.next;
+        inner.next += 1;
+        let store = Rc::downgrade(&self.0);
+        let (source, declared) = (text.into(), declared.into());
+        let template = Rc::new(Template { id, kind, source, declared, hash, cost, store });
+        inner.buckets.entry(hash).or_default().push(Rc::downgrade(&template));
+        Ok(template)
+    }
+
+    /// How many there are, and the bytes that they count for.
+    pub fn used(&self) -> (usize, usize) {
+        let inner = self.0.borrow();
+        (inner.buckets.values().map(Vec::len).sum(), inner.bytes)
+    }
+}
+
+/// The type of a parameter that is left open.
+fn usual_type(place: Place, data: u32) -> Option<u32> {
+    match place {
+        Place::Value => Some(data),
+        Place::Key | Place::Id | Place::Class | Place::Idempotency | Place::Retry => Some(oid::TEXT),
+        Place::Group | Place::Wait => Some(oid::INT4),
+        Place::After => Some(oid::INT8),
+        Place::Other => None,
+    }
+}
+
+fn fits(place: Place, declared: u32) -> bool {
+    let is_integer = oid::integer_len(declared).is_some();
+    oid::is_text(declared)
+        || match place {
+            Place::Key | Place::Class => false,
+            Place::Value => declared == oid::BYTEA,
+            Place::Id | Place::Idempotency => declared == oid::INT8,
+            Place::Group | Place::Wait | Place::After => is_integer,
+            Place::Retry => is_integer || declared == oid::BOOL,
+            Place::Other => true,
+        }
+}
+
+fn read(text: &str, declared: &[u32], data: u32) -> Result<Kind, Wrong> {
+    if text.trim_matches(|c: char| c.is_whitespace() || c == ';').is_empty() {
+        return Ok(Kind::Empty);
+    }
+    if let Some(utility) = Utility::read(text) {
+        return utility.map(Kind::Utility);
+    }
+    let form = Form::read(text, true)?;
+    for needed in [Place::Class, Place::Group] {
+        form.word(needed).ok_or(FormError::Field(needed.name()))?;
+    }
+    let number = |w: &(Place, Word, _)| if let Word::Param(n) = w.1 { n as usize } else { 0 };
+    let given = form.words.iter().map(number).max().unwrap_or(0).max(declared.len());
+    if given + 2 > MOST_PARAMETERS {
+        return Err(Wrong::Limit { what: "parameters", most: MOST_PARAMETERS - 2 });
+    }
+    let mut types = Vec::with_capacity(given + 2);
+    for n in 1..=given {
+        let places = form.words.iter().filter(|w| w.1 == Word::Param(n as u16)).map(|w| w.0);
+        let told = declared.get(n - 1).copied().filter(|t| *t != oid::UNKNOWN);
+        let usual = places.clone().find_map(|place| usual_type(place, data));
+        let found = told.or(usual).ok_or(Wrong::NoType(n as u16))?;
+        if let Some(place) = places.clone().find(|place| !fits(*place, found)) {
+            return Err(Wrong::Type { param: n as u16, oid: found, place: place.name() });
+        }
+        if places.clone().any(|p| p == Place::Wait) && places.count() > 1 {
+            return Err(Wrong::Shared(n as u16));
+        }
+        types.push(found);
+    }
+    // The text for instances, piece by piece.
+    let (mut out, mut from) = (String::with_capacity(text.len() + 24), 0);
+    let (mut slots, mut marks) = (Vec::new(), Vec::new());
+    let mut wait = None;
+    for (place, word, range) in &form.words {
+        let index = match word {
+            Word::Param(n) => *n as usize - 1,
+            Word::Text(_) if *place == Place::Wait => {
+                types.push(oid::INT4);
+                types.len() - 1
+            }
+            Word::Text(fixed) => {
+                slots.push((*place, Slot::Text((*fixed).into())));
+                continue;
+            }
+        };
+        out.push_str(&text[from..range.start]);
+        let start = out.len();
+        out.push_str(&format!("${}", index + 1));
+        marks.push((start..out.len(), *place, index));
+        from = range.end;
+        if *place == Place::Wait {
+            wait = Some(index);
+        }
+        slots.push((
+            *place,
+            if let Word::Text(t) = word { Slot::Text((*t).into()) } else { Slot::Param(index) },
+        ));
+    }
+    out.push_str(&text[from..form.comment_end]);
+    for (place, usual) in [(Place::Id, oid::TEXT), (Place::Wait, oid::INT4)] {
+        if form.word(place).is_some() {
+            continue;
+        }
+        types.push(usual);
+        out.push_str(&format!(",{}=", place.name()));
+        let start = out.len();
+        out.push_str(&format!("${}", types.len()));
+        marks.push((start..out.len(), place, types.len() - 1));
+        if place == Place::Wait {
+            wait = Some(types.len() - 1);
+        }
+    }
+    out.push_str(&text[form.comment_end..]);
+    let wait = wait.ok_or(FormError::Field("d"))?;
+    let (text, is_write) = (out.into(), form.is_write);
+    Ok(Kind::Request(Request { text, types, given, slots, marks, is_write, wait }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const READ: &str = "SELECT data FROM facts WHERE code = $1 /* id=$2,c=board,d=$3,cluster=2 */";
+
+    fn request(text: &str, declared: &[u32]) -> Result<Request, Wrong> {
+        match read(text, declared, oid::BYTEA)? {
+            Kind::Request(r) => Ok(r),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[rstest]
+    #[case(READ, READ, &[oid::TEXT, oid::TEXT, oid::INT4])]
+    #[case(
+        "SELECT data FROM facts WHERE code = $1 /* c=board,cluster=$2 */",
+        "SELECT data FROM facts WHERE code = $1 /* c=board,cluster=$2,id=$3,d=$4 */",
+        &[oid::TEXT, oid::INT4, oid::TEXT, oid::INT4]
+    )]
+    #[case(
+        "INSERT INTO facts (code, data) VALUES ($2, $1) RETURNING data /* d=480,c=book,cluster=2,k=$3 */",
+        "INSERT INTO facts (code, data) VALUES ($2, $1) RETURNING data /* d=$4,c=book,cluster=2,k=$3,id=$5 */",
+        &[oid::BYTEA, oid::TEXT, oid::TEXT, oid::INT4, oid::TEXT]
+    )]
+    fn instances_get_the_text_with_its_wait_and_name_as_parameters(
+        #[case] text: &str,
+        #[case] sent: &str,
+        #[case] types: &[u32],
+    ) {
+        let r = request(text, &[]).unwrap();
+        assert_eq!((&*r.text, &r.types[..]), (sent, types));
+        for (range, _, index) in &r.marks {
+            assert_eq!(r.text[range.clone()], format!("${}", index + 1));
+        }
+        assert!(r.marks.iter().any(|(_, place, index)| *place == Place::Wait && *index == r.wait));
+    }
+
+    #[rstest]
+    #[case(READ, &[oid::BYTEA], Wrong::Type { param: 1, oid: oid::BYTEA, place: "code" })]
+    #[case(READ, &[0, 0, oid::BOOL], Wrong::Type { param: 3, oid: oid::BOOL, place: "d" })]
+    #[case(&READ.replace("$3", "$5"), &[], Wrong::NoType(3))]
+    #[case(&READ.replace("cluster=2", "cluster=$3"), &[], Wrong::Shared(3))]
+    #[case(&READ.replace("$3", "$300"), &[], Wrong::Limit { what: "parameters", most: MOST_PARAMETERS - 2 })]
+    #[case(&READ.replace(",cluster=2", ""), &[], FormError::Field("cluster").into())]
+    #[case("begin", &[], Wrong::Unsupported("BEGIN".into()))]
+    #[case("COPY facts FROM STDIN", &[], Wrong::Unsupported("COPY".into()))]
+    #[case("SELECT 1", &[], FormError::Form.into())]
+    fn what_can_not_be_prepared_is_named(
+        #[case] text: &str,
+        #[case] declared: &[u32],
+        #[case] wanted: Wrong,
+    ) {
+        assert_eq!(read(text, declared, oid::BYTEA).err(), Some(wanted));
+    }
+
+    #[test]
+    fn a_text_is_kept_once_and_as_long_as_somebody_has_it() {
+        let store = Templates::new(4 * (OVERHEAD + 2 * READ.len()), oid::BYTEA);
+        let one = store.get(READ, &[]).unwrap();
+        let same = store.get(READ, &[]).unwrap();
+        let other = store.get(READ, &[oid::VARCHAR]).unwrap();
+        assert!(Rc::ptr_eq(&one, &same) && !Rc::ptr_eq(&one, &other) && one.id != other.id);
+        assert_eq!(store.used().0, 2);
+        let many: Vec<_> = (0..9).map(|i| store.get(&READ.replace("board", &format!("b{i}")), &[])).collect();
+        assert_eq!(many.iter().filter(|t| t.is_ok()).count(), 2);
+        drop((one, same, other, many));
+        assert_eq!(store.used(), (0, 0));
+        assert!(store.get(READ, &[]).is_ok());
+    }
+
+    #[rstest]
+    #[case("set application_name = 'x'", Some(Utility::Setting("SET")))]
+    #[case("RESET ALL;", Some(Utility::Setting("RESET")))]
+    #[case("discard all", Some(Utility::DiscardAll))]
+    #[case("DEALLOCATE PREPARE Ab", Some(Utility::Deallocate(Some("ab".into()))))]
+    #[case("deallocate \"A\"\"b\"", Some(Utility::Deallocate(Some("A\"b".into()))))]
+    #[case("deallocate all", Some(Utility::Deallocate(None)))]
+    #[case("deallocate", None)]
+    #[case("SELECT 1", None)]
+    fn utilities_are_told_apart(#[case] text: &str, #[case] wanted: Option<Utility>) {
+        assert_eq!(Utility::read(text).and_then(Result::ok), wanted);
+    }
+}
--- /dev/null
+++ b/statements/tests/plan.rs
@@ -0,0 +1,329 @@
+//! Pipelines against a client that waits for each answer: whatever runs at once, in whatever order it ends, the
+//! client must get what it would have got one by one, and nothing may start too early.
+
+use proptest::prelude::*;
+use reelrill::{Class, Need, Repeat};
+use reelrill_pgwire::Format;
+use reelrill_pgwire::frontend::{Bind, Command, Object};
+use reelrill_pgwire::oid;
+use reelrill_statements::Wrong;
+use reelrill_statements::account::{Accounts, Limits};
+use reelrill_statements::admit::Catalog;
+use reelrill_statements::plan::{Common, Output, Plan, Start};
+use reelrill_statements::template::Templates;
+use rstest::rstest;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+const READ: &str = "SELECT data FROM facts WHERE code = $1 /* c=board,cluster=1 */";
+const WRITE: &str = "INSERT INTO facts (code, data) VALUES ($1, 'v') RETURNING data /* c=book,cluster=1 */";
+
+fn common(limits: Limits) -> Rc<Common> {
+    let class = |need| Class {
+        need,
+        repeat: Repeat::Safe,
+        window: 0,
+        aim: 1,
+        aim_stretch: 0.0,
+        deadline: 1_000_000_000,
+        worth: 1.0,
+        late_worth: 0.0,
+    };
+    let names = ["board", "book"].map(str::to_owned).into();
+    Rc::new(Common {
+        templates: Templates::new(limits.text_bytes, oid::BYTEA),
+        limits,
+        accounts: Accounts::new(&limits),
+        catalog: Catalog::new(names, vec![class(Need::Any), class(Need::Write)]),
+        translate: false,
+    })
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Parse(&'static str, bool),
+    Bind(&'static str, &'static str),
+    Execute(&'static str),
+    CloseStatement(&'static str),
+    ClosePortal(&'static str),
+    DescribeStatement(&'static str),
+    Sync,
+}
+
+/// A few commands that go together, or any one.
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let name = || prop_oneof![2 => Just(""), 1 => Just("a"), 1 => Just("b")];
+    prop_oneof![
+        4 => (name(), name(), 0..4).prop_map(|(s, p, w)| {
+            vec![Op::Parse(s, w == 0), Op::Bind(p, s), Op::Execute(p)]
+        }),
+        6 => (name(), name()).prop_map(|(s, p)| vec![Op::Bind(p, s), Op::Execute(p)]),
+        1 => (name(), any::<bool>()).prop_map(|(n, w)| vec![Op::Parse(n, w)]),
+        1 => (name(), name()).prop_map(|(p, s)| vec![Op::Bind(p, s)]),
+        1 => name().prop_map(|n| vec![Op::Execute(n)]),
+        1 => name().prop_map(|n| vec![Op::CloseStatement(n)]),
+        1 => name().prop_map(|n| vec![Op::ClosePortal(n)]),
+        1 => name().prop_map(|n| vec![Op::DescribeStatement(n)]),
+        6 => Just(vec![Op::Sync]),
+    ]
+}
+
+/// `id` becomes the name of a request that is bound now.
+fn give(plan: &mut Plan<bool>, op: &Op, id: usize) {
+    let command = match *op {
+        Op::Parse(name, is_write) => {
+            Command::Parse { name, text: if is_write { WRITE } else { READ }, types: Vec::new() }
+        }
+        Op::Bind(portal, statement) => Command::Bind(Bind {
+            portal,
+            statement,
+            formats: Vec::new(),
+            values: vec![Some(b"k")],
+            results: vec![Format::Binary],
+        }),
+        Op::Execute(portal) => Command::Execute { portal, rows: 0 },
+        Op::CloseStatement(name) => Command::Close(Object::Statement, name),
+        Op::ClosePortal(name) => Command::Close(Object::Portal, name),
+        Op::DescribeStatement(name) => Command::Describe(Object::Statement, name),
+        Op::Sync => Command::Sync,
+    };
+    plan.command(&command, id as u64);
+}
+
+/// What a client gets that sends a command, waits for its answer, and sends the next: `fates` says by the
+/// place of a request's Bind whether it is served. Also gives the writes that were served.
+fn one_by_one(ops: &[Op], fates: &[bool]) -> (Vec<String>, Vec<u64>) {
+    let (mut said, mut ran) = (Vec::new(), Vec::new());
+    let mut statements: HashMap<&str, bool> = HashMap::new();
+    let mut portals: HashMap<&str, (bool, usize, bool)> = HashMap::new();
+    let mut skipping = false;
+    for (at, op) in ops.iter().enumerate() {
+        if skipping && !matches!(op, Op::Sync) {
+            continue;
+        }
+        let word = match *op {
+            Op::Sync => {
+                portals.clear();
+                skipping = false;
+                "Ready"
+            }
+            Op::Parse(name, _) if !name.is_empty() && statements.contains_key(name) => "StatementExists",
+            Op::Parse(name, is_write) => {
+                statements.insert(name, is_write);
+                "Parsed"
+            }
+            Op::Bind(portal, statement) => match statements.get(statement) {
+                None => "NoStatement",
+                Some(_) if !portal.is_empty() && portals.contains_key(portal) => "PortalExists",
+                Some(is_write) => {
+                    portals.insert(portal, (*is_write, at, false));
+                    "Bound"
+                }
+            },
+            Op::Execute(portal) => match portals.get_mut(portal) {
+                None => "NoPortal",
+                Some((true, _, true)) => "PortalDone",
+                Some((false, _, true)) => "Complete",
+                Some((is_write, id, has_run)) => {
+                    *has_run = true;
+                    if *is_write && fates[*id] {
+                        ran.push(*id as u64);
+                    }
+                    if fates[*id] { "served" } else { "failed" }
+                }
+            },
+            Op::CloseStatement(name) => {
+                statements.remove(name);
+                "Closed"
+            }
+            Op::ClosePortal(name) => {
+                portals.remove(name);
+                "Closed"
+            }
+            Op::DescribeStatement(name) if statements.contains_key(name) => {
+                said.push("Parameters".to_owned());
+                "Column"
+            }
+            Op::DescribeStatement(_) => "NoStatement",
+        };
+        let errors = ["StatementExists", "NoStatement", "PortalExists", "NoPortal", "PortalDone", "failed"];
+        skipping |= errors.contains(&word);
+        said.push(word.to_owned());
+    }
+    (said, ran)
+}
+
+fn word(output: &Output<bool>) -> String {
+    match output {
+        Output::Answer { answer, .. } => if *answer { "served" } else { "failed" }.to_owned(),
+        Output::Wrong(wrong) => format!("{wrong:?}").split(['(', ' ']).next().unwrap_or("").to_owned(),
+        other => format!("{other:?}").split(['(', ' ']).next().unwrap_or("").to_owned(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_pipeline_answers_as_one_by_one(
+        ops in proptest::collection::vec(ops(), 1..24),
+        fates in proptest::collection::vec(proptest::bool::weighted(0.8), 80),
+        choices in proptest::collection::vec(any::<proptest::sample::Index>(), 200),
+        reads in 1usize..5,
+    ) {
+        let mut ops = ops.concat();
+        ops.push(Op::Sync);
+        let (wanted, writes) = one_by_one(&ops, &fates);
+        let limits = Limits { reads, commands: 12, ..Limits::default() };
+        let mut plan: Plan<bool> = Plan::new(common(limits));
+        let (mut given, mut said) = (0, Vec::new());
+        let (mut out, mut written): (Vec<Start>, Vec<u64>) = (Vec::new(), Vec::new());
+        for choice in choices.iter().cycle().take(5000) {
+            while given < ops.len() && !plan.is_full() {
+                give(&mut plan, &ops[given], given);
+                given += 1;
+                if choice.index(3) == 0 {
+                    break;
+                }
+            }
+            while let Some(start) = plan.start() {
+                prop_assert!(!out.iter().any(|o| o.admitted.is_write), "beside a write");
+                prop_assert!(!start.admitted.is_write || out.is_empty(), "a write beside others");
+                prop_assert!(out.len() < reads);
+                out.push(start);
+            }
+            // The answers so far must be a beginning of the wanted ones, whenever they are looked at.
+            while let Some(output) = plan.output() {
+                said.push(word(&output));
+            }
+            prop_assert!(wanted.starts_with(&said), "{said:?} for {wanted:?}");
+            if out.is_empty() {
+                if given == ops.len() {
+                    break;
+                }
+                continue;
+            }
+            let ended = out.swap_remove(choice.index(out.len()));
+            let id = ended.admitted.id.unwrap();
+            let fate = fates[id as usize];
+            if ended.admitted.is_write && fate {
+                written.push(id);
+            }
+            let off = plan.finish(ended.part, fate, fate);
+            out.retain(|o| !off.contains(&o.part));
+            prop_assert!(plan.finish(ended.part, !fate, !fate).is_empty(), "a second end changes something");
+        }
+        prop_assert_eq!(&said, &wanted);
+        prop_assert!(plan.is_idle());
+        prop_assert_eq!(written, writes, "a write ran that one by one would not have, or did not");
+    }
+}
+
+/// Takes all that may start, ends it as served, and gives what is said.
+fn settle(plan: &mut Plan<bool>) -> Vec<String> {
+    let mut said = Vec::new();
+    loop {
+        while let Some(output) = plan.output() {
+            said.push(word(&output));
+        }
+        let Some(start) = plan.start() else { return said };
+        plan.finish(start.part, true, true);
+    }
+}
+
+#[test]
+fn a_row_limit_of_one_leaves_its_portal_suspended() {
+    let mut plan: Plan<bool> = Plan::new(common(Limits::default()));
+    for op in [Op::Parse("", false), Op::Bind("", "")] {
+        give(&mut plan, &op, 1);
+    }
+    plan.command(&Command::Execute { portal: "", rows: 1 }, 1);
+    plan.command(&Command::Execute { portal: "", rows: 1 }, 1);
+    plan.command(&Command::Describe(Object::Portal, ""), 1);
+    let start = plan.start().unwrap();
+    assert!(plan.start().is_none());
+    assert_eq!(
+        [plan.output(), plan.output(), plan.output()],
+        [Some(Output::Parsed), Some(Output::Bound), None]
+    );
+    plan.finish(start.part, true, true);
+    assert_eq!(plan.output(), Some(Output::Answer { answer: true, suspended: true }));
+    assert_eq!(plan.output(), Some(Output::Complete("SELECT 0")));
+    assert_eq!(plan.output(), Some(Output::Column(Format::Binary)));
+}
+
+#[rstest]
+#[case("DEALLOCATE a", "Complete")]
+#[case("DEALLOCATE x", "Wrong")]
+#[case("DISCARD ALL", "Complete")]
+#[case("SET x = 1", "Complete")]
+#[case("", "Empty")]
+fn utilities_run_without_an_instance(#[case] text: &str, #[case] wanted: &str) {
+    let mut plan: Plan<bool> = Plan::new(common(Limits::default()));
+    give(&mut plan, &Op::Parse("a", false), 1);
+    plan.command(&Command::Parse { name: "u", text, types: Vec::new() }, 1);
+    let bind = Bind { portal: "", statement: "u", formats: vec![], values: vec![], results: vec![] };
+    plan.command(&Command::Bind(bind), 1);
+    plan.command(&Command::Execute { portal: "", rows: 0 }, 1);
+    plan.command(&Command::Sync, 1);
+    let said = settle(&mut plan);
+    assert_eq!(&said[..3], ["Parsed", "Parsed", "Bound"]);
+    assert!(said[3] == wanted || (wanted == "Wrong" && said[3] == "NoStatement"), "{said:?}");
+    assert_eq!(
+        plan.statements(),
+        match text {
+            "DEALLOCATE a" => 1,
+            "DISCARD ALL" => 0,
+            _ => 2,
+        }
+    );
+}
+
+/// Guards the bounds: what is over one is refused by name, and what was there before goes on.
+#[test]
+fn bounds_are_kept_and_named() {
+    let limits = Limits { statements: 3, all_statements: 5, portals: 2, segment: 6, ..Limits::default() };
+    let common = common(limits);
+    let mut plans: Vec<Plan<bool>> = (0..2).map(|_| Plan::new(common.clone())).collect();
+    let limit = |what, most| Some(Output::Wrong(Wrong::Limit { what, most }));
+    let names = ["a", "b", "c", "d"];
+    let last = |plan: &mut Plan<bool>| {
+        let mut last = None;
+        while let Some(output) = plan.output() {
+            last = Some(output);
+        }
+        last
+    };
+    for (plan, wanted) in plans
+        .iter_mut()
+        .zip([limit("prepared statements of one client", 3), limit("prepared statements of all clients", 5)])
+    {
+        for name in names {
+            give(plan, &Op::Parse(name, false), 1);
+        }
+        assert_eq!(last(plan), wanted);
+        give(plan, &Op::Sync, 1);
+        last(plan);
+    }
+    let plan = &mut plans[0];
+    for name in names {
+        give(plan, &Op::Bind(name, "a"), 1);
+    }
+    assert_eq!(last(plan), limit("portals of one client", 2));
+    give(plan, &Op::Sync, 1);
+    for _ in 0..7 {
+        give(plan, &Op::ClosePortal("x"), 1);
+    }
+    assert_eq!(last(plan), limit("commands in a segment", 6));
+    give(plan, &Op::Sync, 1);
+    give(plan, &Op::Bind("", "a"), 1);
+    give(plan, &Op::Execute(""), 1);
+    assert_eq!(settle(plan).last().unwrap(), "served");
+    drop(plans);
+    assert_eq!((common.accounts.statements.used(), common.templates.used()), (0, (0, 0)));
+}
