--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -1,17 +1,25 @@
 //! The clients' side: the listener, and one task for each connection.
 
+mod pipeline;
+
 use crate::buffer::Buffer;
 use crate::counters::count;
-use crate::exchange::{Incoming, Message, Reply};
+use crate::edge::Mode;
+use crate::exchange::{Answer, Incoming, Message, Reply, ReplyTo};
 use crate::log::CloseReason;
-use crate::pgwire::codec::{self, FrameError, Startup};
-use crate::pgwire::comment::Comment;
-use crate::shared::{Fresh, Holder, Shared, Slot};
+use crate::shared::{Cancel, Fresh, Holder, Shared, Slot};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt as _;
 use futures_lite::future::or;
-use reelrill::{Need, Repeat, RequestId, Time};
+use pipeline::Pipeline;
+use reelrill::{RequestId, Time};
+use reelrill_pgwire::frame::{self, FrameError};
+use reelrill_pgwire::frontend::{self, CommandError, Startup};
+use reelrill_pgwire::{backend, code};
+use reelrill_statements::Wrong;
+use reelrill_statements::admit::{Admitted, Named};
+use reelrill_statements::bound::{Ask, Simple};
 use slog::{info, warn};
 use std::io::{ErrorKind, Read as _};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -36,8 +44,6 @@
 const FIRST_REQUEST: Duration = Duration::from_millis(400);
 /// What a client may send ahead while it waits for an answer.
 const AHEAD: usize = 16 * 1024;
-/// The longest wait that a client may ask for, an hour: beyond it the figure is an error.
-const LONGEST_WAIT_MS: u64 = 3_600_000;
 
 /// Accepts until the process ends. Without a free slot, connections wait in the kernel's backlog.
 pub async fn listen(shared: Rc<Shared>, executor: Rc<LocalExecutor<'static>>, listener: Async<TcpListener>) {
@@ -77,8 +83,15 @@
     let _ = stream.get_ref().set_nodelay(true);
     let accepted = shared.clock.now();
     let (buffer, fresh) = (Buffer::new(&shared.memory), Some(shared.clients.fresh()));
-    let mut client = Client { shared, stream, buffer, accepted, fresh, begun: None, is_skipping: false };
+    let cancel = Rc::new(Cancel::default());
+    let pipeline = (shared.config.edge.extended.mode != Mode::Off).then(|| Pipeline::new(&shared));
+    let (begun, is_skipping, process) = (None, false, None);
+    let mut client =
+        Client { shared, stream, buffer, accepted, fresh, begun, is_skipping, pipeline, cancel, process };
     let reason = client.session().await.err().unwrap_or(CloseReason::Terminate);
+    if let Some(process) = client.process {
+        client.shared.cancels.remove(process);
+    }
     info!(client.shared.log, "connection ended"; "with" => "client", "reason" => reason.code());
 }
 
@@ -93,6 +106,12 @@
     begun: Option<Time>,
     /// Extended commands are passed over up to the Sync that ends them.
     is_skipping: bool,
+    /// Its prepared statements and what it has pipelined, where extended queries are spoken.
+    pipeline: Option<Pipeline>,
+    /// Its wish, on another connection, to call off what it waits for.
+    cancel: Rc<Cancel>,
+    /// The number that such a wish names.
+    process: Option<u32>,
 }
 
 /// What a client waits for, or that it has gone.
@@ -106,7 +125,7 @@
     async fn session(&mut self) -> Result<(), CloseReason> {
         self.startup().await?;
         loop {
-            let (tag, body, len) = match codec::command(self.buffer.bytes()) {
+            let (tag, body, len) = match frame::command(self.buffer.bytes(), self.pipeline.is_some()) {
                 Ok(Some(message)) => {
                     self.begun = None;
                     message
@@ -118,9 +137,14 @@
                 Err(e) => return Err(self.broken_frame(&e).await),
             };
             match tag {
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'S' if self.pipeline.is_some() => {
+                    if let Err(e) = frontend::read(tag, body) {
+                        return Err(self.broken_command(&e).await);
+                    }
+                    self.run_pipeline().await?;
+                }
                 b'Q' => {
-                    let text =
-                        codec::text(body).filter(|(_, rest)| rest.is_empty()).map(|(t, _)| t.to_owned());
+                    let text = backend::only_text(body).map(str::to_owned);
                     self.buffer.consume(len);
                     match text {
                         Some(text) => {
@@ -136,7 +160,7 @@
                     self.buffer.consume(len);
                     self.is_skipping = false;
                     let mut out = Vec::new();
-                    codec::put_ready(&mut out);
+                    backend::put_ready(&mut out);
                     self.write(&out).await?;
                 }
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
@@ -152,7 +176,7 @@
 
     async fn startup(&mut self) -> Result<(), CloseReason> {
         loop {
-            let (kind, len) = match codec::startup(self.buffer.bytes()) {
+            let (kind, len) = match frontend::startup(self.buffer.bytes()) {
                 Ok(Some(message)) => message,
                 Ok(None) => {
                     self.next().await?;
@@ -163,11 +187,22 @@
             self.buffer.consume(len);
             match kind {
                 Startup::Encryption => self.write(b"N").await?,
-                Startup::Cancel => return Err(CloseReason::CancelRequest),
+                Startup::Cancel { process, secret } => {
+                    count(&self.shared.counters.cancel_requests);
+                    if self.shared.cancels.cancel(process, secret) {
+                        count(&self.shared.counters.cancels);
+                    }
+                    return Err(CloseReason::CancelRequest);
+                }
                 Startup::Version => return Err(self.fatal("this protocol version is not spoken").await),
                 Startup::Session { minor } => {
                     let mut out = Vec::new();
-                    codec::put_welcome(&mut out, minor);
+                    let (mut process, mut secret) = (0, 0);
+                    if self.pipeline.is_some() {
+                        (process, secret) = self.shared.cancels.register(&self.cancel);
+                        self.process = Some(process);
+                    }
+                    backend::put_welcome(&mut out, minor, process, secret);
                     return self.write(&out).await;
                 }
             }
@@ -189,11 +224,16 @@
     async fn next(&mut self) -> Result<(), CloseReason> {
         let shared = self.shared.clone();
         let is_between = self.buffer.bytes().is_empty();
+        let resting = if self.pipeline.as_ref().is_some_and(Pipeline::has_state) {
+            Holder::Stateful
+        } else {
+            Holder::Idle
+        };
         // A message that has stalled or drips in, or a connection that says nothing, must not hold a slot.
         let now = shared.clock.now();
         let (holder, since, limit) = match (self.fresh.is_some(), is_between) {
             (true, _) => (Holder::Useless, self.accepted, Some(CloseReason::StartupTimeout)),
-            (false, true) => (Holder::Idle, now, None),
+            (false, true) => (resting, now, None),
             (false, false) => (Holder::Useless, *self.begun.get_or_insert(now), Some(CloseReason::Stalled)),
         };
         let since = shared.clock.instant(since);
@@ -207,7 +247,7 @@
             }
         };
         let evicted = async {
-            Timer::at(since + if holder == Holder::Idle { IDLE } else { GRACE }).await;
+            Timer::at(since + if holder == Holder::Useless { GRACE } else { IDLE }).await;
             shared.clients.wanted(holder).await;
             Waited::Done(CloseReason::Evicted)
         };
@@ -235,66 +275,65 @@
     async fn on_query(&mut self, text: &str) -> Result<(), CloseReason> {
         self.shared.last_arrival.set(self.shared.clock.now());
         self.fresh = None;
+        if let Some(pipeline) = &mut self.pipeline {
+            pipeline.on_simple();
+        }
         let mut out = Vec::new();
         if text.trim_matches(|c: char| c.is_whitespace() || c == ';').is_empty() {
             // The front sends clients once this is answered: only a router that can serve says so.
             let shared = self.shared.clone();
             self.attend(shared.ready.wait()).await?;
-            codec::put(&mut out, b'I', &[]);
+            reelrill_pgwire::put(&mut out, b'I', &[]);
         } else {
             match self.read_request(text) {
-                Ok(incoming) => match self.ask(incoming).await? {
-                    Reply::Served(answer) => {
-                        codec::put(&mut out, b'T', &[&answer.columns]);
-                        codec::put(&mut out, b'D', &[&answer.row]);
-                        codec::put(&mut out, b'C', &[&answer.tag]);
+                Ok(incoming) => {
+                    self.cancel.reset();
+                    match self.ask(incoming).await? {
+                        Reply::Served(answer) => put_answer(&mut out, &answer),
+                        other => put_failure(&mut out, &other),
                     }
-                    Reply::Refused { retry_after } => {
-                        let after = retry_after.map(|span| span.div_ceil(1_000_000).to_string());
-                        let text = "refused: trying again is harmless";
-                        codec::put_error(&mut out, false, codec::TOO_MANY, text, after.as_deref());
+                }
+                Err(e) => match self.pipeline.as_mut().and_then(|p| p.simple(text)) {
+                    Some(Ok(tag)) => backend::put_complete(&mut out, tag),
+                    Some(Err(e)) => self.put_wrong(&mut out, &e),
+                    // Whatever it is, a simple query that is none of ours has this code.
+                    None => {
+                        count(&self.shared.counters.rejected);
+                        backend::put_error(&mut out, false, code::SYNTAX, &e.to_string(), None);
                     }
-                    Reply::Failed(why) => codec::put_error(&mut out, false, codec::FAILED, why, None),
                 },
-                Err(why) => {
-                    count(&self.shared.counters.rejected);
-                    codec::put_error(&mut out, false, codec::SYNTAX, &why, None);
-                }
             }
         }
-        codec::put_ready(&mut out);
+        backend::put_ready(&mut out);
         self.write(&out).await
     }
 
-    fn read_request(&self, text: &str) -> Result<Incoming, String> {
-        let c = Comment::read(text).map_err(|e| e.to_string())?;
-        let site = &self.shared.config.site;
-        let class = site.class_names.iter().position(|name| name == c.class);
-        let unknown = || format!("unknown class '{}'", c.class);
-        let class = class.ok_or_else(unknown)?;
-        let known = site.settings.classes.get(class).ok_or_else(unknown)?;
-        if c.wait_ms == 0 || c.wait_ms > LONGEST_WAIT_MS {
-            return Err("d: out of range".to_owned());
-        }
-        if c.is_write != (known.need == Need::Write) {
-            return Err(format!("class '{}' does not go with this statement", c.class));
-        }
-        if matches!(known.repeat, Repeat::Keyed(_)) && !c.has_key {
-            return Err("k: missing".to_owned());
-        }
-        let has_session = matches!(known.need, Need::Session | Need::Write);
-        Ok(Incoming {
+    fn put_wrong(&self, out: &mut Vec<u8>, wrong: &Wrong) {
+        count(&self.shared.counters.rejected);
+        backend::put_error(out, false, wrong.code(), &wrong.to_string(), None);
+    }
+
+    fn read_request(&self, text: &str) -> Result<Incoming, Wrong> {
+        let (named, digits) = Named::simple(text)?;
+        let admitted = self.shared.common.catalog.admit(&named)?;
+        let ask = Rc::new(Ask::Simple(Simple::new(text.as_bytes().to_vec(), digits)));
+        Ok(self.incoming(&admitted, ask))
+    }
+
+    /// A request whose turn begins now.
+    fn incoming(&self, admitted: &Admitted, ask: Rc<Ask>) -> Incoming {
+        Incoming {
             request: self.shared.next_request(),
-            id: c.id,
-            class: class as u32,
-            group: c.group,
-            session: has_session.then(|| c.key.into()),
-            after: c.after().filter(|_| known.need == Need::Session),
-            is_retry: c.is_retry,
-            wait: (c.wait_ms * 1_000_000).min(known.deadline),
+            id: admitted.id.unwrap_or_else(rand::random),
+            class: admitted.class,
+            group: admitted.group,
+            session: admitted.session.clone(),
+            after: admitted.after,
+            is_retry: admitted.is_retry,
+            wait: admitted.wait,
             arrived: self.shared.clock.now(),
-            statement: c.statement(text),
-        })
+            ask,
+        }
     }
 
     /// Hands the request to the decider and waits for its one answer, with an eye on the client.
@@ -304,15 +343,25 @@
             return Err(CloseReason::LeftWaiting);
         }
         let request: RequestId = incoming.request;
-        let (reply, answered) = async_channel::bounded(1);
+        let (to, answered) = async_channel::bounded(1);
         let shared = self.shared.clone();
-        if shared.decider.send(Message::Request { incoming, reply }).await.is_err() {
+        if shared.decider.send(Message::Request { incoming, reply: ReplyTo { part: 0, to } }).await.is_err() {
             return Ok(Reply::Failed("the router is ending"));
         }
-        match self.attend(answered.recv()).await {
-            Ok(reply) => Ok(reply.unwrap_or(Reply::Failed("the router is ending"))),
+        let cancel = self.cancel.clone();
+        let cancelled = async {
+            cancel.wait().await;
+            None
+        };
+        let answer = async { Some(answered.recv().await.map(|(_, reply)| reply)) };
+        match self.attend(or(answer, cancelled)).await {
+            Ok(Some(reply)) => Ok(reply.unwrap_or(Reply::Failed("the router is ending"))),
+            // The decider ends last; without it there is nobody to tell.
+            Ok(None) => {
+                let _ = shared.decider.send(Message::ClientLeft { request }).await;
+                Ok(Reply::Cancelled)
+            }
             Err(reason) => {
-                // The decider ends last; without it there is nobody to tell.
                 let _ = shared.decider.send(Message::ClientLeft { request }).await;
                 Err(reason)
             }
@@ -323,7 +372,7 @@
     async fn attend<T>(&mut self, what: impl Future<Output = T>) -> Result<T, CloseReason> {
         let mut what = std::pin::pin!(what);
         loop {
-            if matches!(codec::command(self.buffer.bytes()), Ok(Some((b'X', ..)))) {
+            if matches!(frame::command(self.buffer.bytes(), self.pipeline.is_some()), Ok(Some((b'X', ..)))) {
                 return Err(CloseReason::LeftWaiting);
             }
             // What is pipelined stays in the buffer, which must not grow without an end.
@@ -348,7 +397,7 @@
         count(&self.shared.counters.rejected);
         let mut out = Vec::new();
         let why = format!("message '{}' is not supported: use simple queries", char::from(tag));
-        codec::put_error(&mut out, false, codec::UNSUPPORTED, &why, None);
+        backend::put_error(&mut out, false, code::UNSUPPORTED, &why, None);
         self.write(&out).await
     }
 
@@ -360,22 +409,27 @@
         }
     }
 
+    async fn broken_command(&mut self, e: &CommandError) -> CloseReason {
+        self.last_words(e.code(), &e.to_string()).await;
+        CloseReason::Malformed
+    }
+
     /// The request was never taken: trying again is harmless.
     async fn no_memory(&mut self) -> CloseReason {
-        self.last_words(codec::TOO_MANY, "no memory for a message of this size now").await;
+        self.last_words(code::TOO_MANY, "no memory for a message of this size now").await;
         CloseReason::NoMemory
     }
 
     /// Says what is wrong; the connection is closed after it.
     async fn fatal(&mut self, why: &str) -> CloseReason {
-        self.last_words(codec::PROTOCOL_VIOLATION, why).await;
+        self.last_words(code::PROTOCOL_VIOLATION, why).await;
         CloseReason::Malformed
     }
 
     async fn last_words(&mut self, code: &str, why: &str) {
         count(&self.shared.counters.rejected);
         let mut out = Vec::new();
-        codec::put_error(&mut out, true, code, why, None);
+        backend::put_error(&mut out, true, code, why, None);
         if self.write(&out).await.is_ok() {
             self.linger().await;
         }
@@ -414,3 +468,28 @@
         or(write, late).await
     }
 }
+
+/// A served answer to a simple query.
+fn put_answer(out: &mut Vec<u8>, answer: &Answer) {
+    if let Some(c) = &answer.column {
+        backend::put_column(out, &backend::Column { name: &c.name, kind: c.kind, format: c.format });
+    }
+    backend::put_value(out, &answer.value);
+    backend::put_complete(out, &answer.tag);
+}
+
+/// Any other answer.
+fn put_failure(out: &mut Vec<u8>, reply: &Reply) {
+    match reply {
+        Reply::Refused { retry_after } => {
+            let after = retry_after.map(|span| span.div_ceil(1_000_000).to_string());
+            let text = "refused: trying again is harmless";
+            backend::put_error(out, false, code::TOO_MANY, text, after.as_deref());
+        }
+        Reply::Failed(why) => backend::put_error(out, false, code::FAILED, why, None),
+        Reply::Cancelled => {
+            backend::put_error(out, false, code::CANCELED, "called off by its client; it may have run", None);
+        }
+        Reply::Served(_) => {}
+    }
+}
--- /dev/null
+++ b/router/src/client/pipeline.rs
@@ -0,0 +1,263 @@
+//! A client that speaks extended queries: carries out what its plan decides. The order of things, what is skipped
+//! and what is owed is the plan's; here are the bytes, the decider's replies, and an eye on the client.
+
+use super::{AHEAD, Client, put_failure};
+use crate::counters::count;
+use crate::exchange::{Message, Reply, ReplyTo};
+use crate::log::CloseReason;
+use crate::shared::Shared;
+use async_channel::{Receiver, Sender};
+use futures_lite::future::or;
+use reelrill::RequestId;
+use reelrill_pgwire::backend::{self, Column};
+use reelrill_pgwire::frontend::{self, Command};
+use reelrill_pgwire::{Format, frame, put};
+use reelrill_statements::Wrong;
+use reelrill_statements::bound::convert;
+use reelrill_statements::plan::{Output, Plan};
+
+/// What is written at once, so that a long pipeline's answers do not pile up.
+const PIECE: usize = 64 * 1024;
+
+/// A part that is out.
+struct Part {
+    number: u64,
+    request: RequestId,
+    /// The format that its client wants its value in.
+    result: Format,
+}
+
+pub struct Pipeline {
+    plan: Plan<Reply>,
+    parts: Vec<Part>,
+    to: Sender<(u64, Reply)>,
+    answers: Receiver<(u64, Reply)>,
+    /// The type of the one column.
+    data: u32,
+}
+
+/// Why the client's task goes on.
+enum Woken {
+    Reply(u64, Reply),
+    Cancelled,
+    Read(std::io::Result<usize>),
+}
+
+impl Pipeline {
+    pub fn new(shared: &Shared) -> Pipeline {
+        // Room for the parts that are out, and for those that were called off and answered at the same moment.
+        let (to, answers) = async_channel::bounded(shared.common.limits.reads * 4 + 16);
+        let data = shared.config.edge.extended.data_type.oid();
+        Pipeline { plan: Plan::new(shared.common.clone()), parts: Vec::new(), to, answers, data }
+    }
+
+    /// Its client would miss something if the connection were closed now.
+    pub fn has_state(&self) -> bool {
+        self.plan.statements() > 0 || self.plan.is_open()
+    }
+
+    pub fn on_simple(&mut self) {
+        self.plan.on_simple();
+    }
+
+    pub fn simple(&mut self, text: &str) -> Option<Result<&'static str, Wrong>> {
+        self.plan.simple(text)
+    }
+
+    /// The reply in the format that its client wants.
+    fn in_format(&self, reply: Reply, wanted: Format) -> Reply {
+        let Reply::Served(mut answer) = reply else { return reply };
+        let given = answer.column.as_ref().map_or(wanted, |c| c.format);
+        let Some(value) = convert(&answer.value, self.data, given, wanted) else {
+            return Reply::Failed("it has run; its value can't be given in the format asked for");
+        };
+        if let std::borrow::Cow::Owned(value) = value {
+            answer.value = value;
+        }
+        Reply::Served(answer)
+    }
+
+    /// A part has its reply. Returns the requests that are owed nothing any more.
+    fn on_reply(&mut self, part: u64, reply: Reply) -> Vec<RequestId> {
+        let Some(at) = self.parts.iter().position(|p| p.number == part) else { return Vec::new() };
+        let result = self.parts.swap_remove(at).result;
+        let reply = self.in_format(reply, result);
+        let served = matches!(reply, Reply::Served(_));
+        let called_off = self.plan.finish(part, reply, served);
+        let is_off = |p: &mut Part| called_off.contains(&p.number);
+        self.parts.extract_if(.., is_off).map(|p| p.request).collect()
+    }
+}
+
+impl Client {
+    /// Runs a pipeline until nothing waits; the buffer begins with one of its commands. What stands behind it that
+    /// is none of its commands is left there.
+    pub(super) async fn run_pipeline(&mut self) -> Result<(), CloseReason> {
+        self.fresh = None;
+        self.cancel.reset();
+        let ended = self.flow().await;
+        let Some(pipeline) = &mut self.pipeline else { return ended };
+        // Only a client that has gone leaves parts behind.
+        for part in std::mem::take(&mut pipeline.parts) {
+            let _ = self.shared.decider.send(Message::ClientLeft { request: part.request }).await;
+        }
+        ended
+    }
+
+    async fn flow(&mut self) -> Result<(), CloseReason> {
+        let mut out = Vec::new();
+        loop {
+            let is_blocked = self.feed();
+            self.take_replies().await;
+            self.start_parts().await;
+            self.speak(&mut out);
+            if !out.is_empty() {
+                self.write(&out).await?;
+                out.clear();
+                // What came meanwhile may end in time for the same look.
+                continue;
+            }
+            let Some(pipeline) = &mut self.pipeline else { return Ok(()) };
+            if pipeline.plan.is_idle() {
+                return Ok(());
+            }
+            // What is pipelined stays in the buffer, which must not grow without an end.
+            let is_full = is_blocked || self.buffer.bytes().len() >= AHEAD;
+            let reply = async {
+                match pipeline.answers.recv().await {
+                    Ok((part, reply)) => Woken::Reply(part, reply),
+                    // The pipeline itself holds the other end.
+                    Err(_) => std::future::pending().await,
+                }
+            };
+            let cancelled = async {
+                self.cancel.wait().await;
+                Woken::Cancelled
+            };
+            let read = async {
+                if is_full {
+                    std::future::pending::<()>().await;
+                }
+                Woken::Read(self.buffer.fill(&self.stream).await)
+            };
+            match or(reply, or(cancelled, read)).await {
+                Woken::Reply(part, reply) => self.finish(part, reply).await,
+                Woken::Cancelled => {
+                    self.cancel.reset();
+                    let open = self.pipeline.as_ref().and_then(|p| p.plan.first_open());
+                    if let Some((part, _)) = open {
+                        self.call_off(part).await;
+                    }
+                }
+                Woken::Read(Ok(0)) => return Err(CloseReason::LeftWaiting),
+                Woken::Read(Ok(_)) => {}
+                Woken::Read(Err(_)) => return Err(CloseReason::Reset),
+            }
+        }
+    }
+
+    /// Gives the plan the whole commands at the head of the buffer. Says whether it has to wait with what follows:
+    /// the plan is full, or it is for the time after the pipeline.
+    fn feed(&mut self) -> bool {
+        let Some(pipeline) = &mut self.pipeline else { return true };
+        let mut any = false;
+        let is_blocked = loop {
+            if pipeline.plan.is_full() {
+                break true;
+            }
+            let (command, len) = match frame::command(self.buffer.bytes(), true) {
+                Ok(Some((tag, body, len))) => match frontend::read(tag, body) {
+                    Ok(Command::Terminate | Command::Query(_)) | Err(_) => break true,
+                    Ok(command) => (command, len),
+                },
+                Ok(None) => break false,
+                Err(_) => break true,
+            };
+            pipeline.plan.command(&command, rand::random());
+            self.buffer.consume(len);
+            any = true;
+        };
+        if any {
+            self.shared.last_arrival.set(self.shared.clock.now());
+        }
+        is_blocked
+    }
+
+    async fn take_replies(&mut self) {
+        while let Some((part, reply)) = self.pipeline.as_ref().and_then(|p| p.answers.try_recv().ok()) {
+            self.finish(part, reply).await;
+        }
+    }
+
+    async fn finish(&mut self, part: u64, reply: Reply) {
+        let Some(pipeline) = &mut self.pipeline else { return };
+        for request in pipeline.on_reply(part, reply) {
+            let _ = self.shared.decider.send(Message::ClientLeft { request }).await;
+        }
+    }
+
+    /// Its client calls a part off: it fails at once, and the decider owes it nothing any more.
+    async fn call_off(&mut self, part: u64) {
+        let Some(pipeline) = &mut self.pipeline else { return };
+        let mut requests = Vec::new();
+        match pipeline.parts.iter().find(|p| p.number == part) {
+            Some(out) => {
+                requests.push(out.request);
+                requests.extend(pipeline.on_reply(part, Reply::Cancelled));
+            }
+            // It has not been started, and nothing behind it has.
+            None => drop(pipeline.plan.finish(part, Reply::Cancelled, false)),
+        }
+        for request in requests {
+            let _ = self.shared.decider.send(Message::ClientLeft { request }).await;
+        }
+    }
+
+    async fn start_parts(&mut self) {
+        while let Some(start) = self.pipeline.as_mut().and_then(|p| p.plan.start()) {
+            let incoming = self.incoming(&start.admitted, start.ask);
+            let Some(pipeline) = &mut self.pipeline else { return };
+            let (request, result) = (incoming.request, start.result);
+            pipeline.parts.push(Part { number: start.part, request, result });
+            let reply = ReplyTo { part: start.part, to: pipeline.to.clone() };
+            if self.shared.decider.send(Message::Request { incoming, reply }).await.is_err() {
+                self.finish(start.part, Reply::Failed("the router is ending")).await;
+            }
+        }
+    }
+
+    /// Puts what can be said already, up to a piece of it.
+    fn speak(&mut self, out: &mut Vec<u8>) {
+        let Some(pipeline) = &mut self.pipeline else { return };
+        while out.len() < PIECE
+            && let Some(output) = pipeline.plan.output()
+        {
+            match output {
+                Output::Parsed => put(out, b'1', &[]),
+                Output::Bound => put(out, b'2', &[]),
+                Output::Closed => put(out, b'3', &[]),
+                Output::NoData => put(out, b'n', &[]),
+                Output::Empty => put(out, b'I', &[]),
+                Output::Parameters(types) => backend::put_parameters(out, &types),
+                Output::Column(format) => {
+                    backend::put_column(out, &Column::new("data", pipeline.data, format));
+                }
+                Output::Complete(tag) => backend::put_complete(out, tag),
+                Output::Answer { answer: Reply::Served(answer), suspended } => {
+                    backend::put_value(out, &answer.value);
+                    if suspended {
+                        put(out, b's', &[]);
+                    } else {
+                        backend::put_complete(out, &answer.tag);
+                    }
+                }
+                Output::Answer { answer, .. } => put_failure(out, &answer),
+                Output::Wrong(wrong) => {
+                    count(&self.shared.counters.rejected);
+                    backend::put_error(out, false, wrong.code(), &wrong.to_string(), None);
+                }
+                Output::Ready => backend::put_ready(out),
+            }
+        }
+    }
+}
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration: `RELAY_CONFIG`, overridden by the other variables. Read again on SIGHUP, the file's
 //! `discovery` counts before the variable, which tells where discovery was when the process started.
 
+use crate::edge::Edge;
 use crate::exchange::Listed;
 use crate::roster;
 use reelrill_settings::Site;
@@ -15,12 +16,12 @@
     Read { path: String, source: std::io::Error },
     #[error("{path}: {source}")]
     Json { path: String, source: serde_json::Error },
-    #[error("settings: {0}")]
-    Settings(String),
-    #[error("{0} is missing or is no address")]
-    Address(&'static str),
-    #[error("known: {0}")]
-    Known(#[from] roster::ListError),
+    #[error("{path}: settings: {what}")]
+    Settings { path: String, what: String },
+    #[error("{path}: {key} is missing or is no address")]
+    Address { path: String, key: &'static str },
+    #[error("{path}: known: {source}")]
+    Known { path: String, source: roster::ListError },
 }
 
 #[derive(Debug)]
@@ -36,23 +37,32 @@
     /// The list as this router last had it: its version and entries.
     pub known: (Option<u64>, Vec<Listed>),
     pub site: Site,
+    /// The project's own settings.
+    pub edge: Edge,
     /// The settings as they stand in the file.
     settings: Value,
 }
 
 impl Config {
-    pub fn load() -> Result<Config, ConfigError> {
-        Config::read(&Config::file()?, |name| std::env::var(name).ok())
+    pub fn load(edge: Edge) -> Result<Config, ConfigError> {
+        let path = Config::path()?;
+        Config::read(&path, &Config::file(&path)?, edge, |name| std::env::var(name).ok())
+    }
+
+    /// A file by itself, whatever the environment says.
+    pub fn check(path: &str) -> Result<Config, ConfigError> {
+        Config::read(path, &Config::file(path)?, Edge::default(), |_| None)
     }
 
     /// The file as it is now, on top of this configuration.
     pub fn reload(&self) -> Result<Config, ConfigError> {
-        let value = Config::file()?;
+        let path = Config::path()?;
+        let value = Config::file(&path)?;
         let discovery = match value.get("discovery") {
             Some(named) => named.as_str().unwrap_or_default().to_owned(),
             None => self.discovery.to_string(),
         };
-        Config::read(&value, |name| match name {
+        Config::read(&path, &value, self.edge.clone(), |name| match name {
             "RELAY_DISCOVERY" => Some(discovery.clone()),
             _ => std::env::var(name).ok(),
         })
@@ -70,25 +80,38 @@
         differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
     }
 
-    fn file() -> Result<Value, ConfigError> {
-        let path = std::env::var("RELAY_CONFIG").map_err(|_| ConfigError::NoPath)?;
+    fn path() -> Result<String, ConfigError> {
+        std::env::var("RELAY_CONFIG").map_err(|_| ConfigError::NoPath)
+    }
+
+    fn file(path: &str) -> Result<Value, ConfigError> {
+        let path = path.to_owned();
         let text = std::fs::read_to_string(&path)
             .map_err(|source| ConfigError::Read { path: path.clone(), source })?;
         serde_json::from_str(&text).map_err(|source| ConfigError::Json { path, source })
     }
 
-    fn read(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    fn read(
+        path: &str,
+        value: &Value,
+        edge: Edge,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, ConfigError> {
+        let path = path.to_owned();
         let text = |variable: &str, key: &str| {
             env(variable).or_else(|| value.get(key).and_then(Value::as_str).map(str::to_owned))
         };
-        let address = |variable: &'static str, key: &str| {
-            text(variable, key).and_then(|t| t.parse().ok()).ok_or(ConfigError::Address(variable))
+        let address = |variable: &'static str, key: &'static str| {
+            let wrong = || ConfigError::Address { path: path.clone(), key };
+            text(variable, key).and_then(|t| t.parse().ok()).ok_or_else(wrong)
         };
         let settings = value.get("settings").cloned().unwrap_or_default();
-        let site = reelrill_settings::read(&settings).map_err(ConfigError::Settings)?;
+        let site = reelrill_settings::read(&settings)
+            .map_err(|what| ConfigError::Settings { path: path.clone(), what })?;
         let known = match value.get("known").filter(|k| !k.is_null()) {
             Some(known) => {
-                let list = roster::read_list(known, &site.zones)?;
+                let wrong = |source| ConfigError::Known { path: path.clone(), source };
+                let list = roster::read_list(known, &site.zones).map_err(wrong)?;
                 (Some(list.version), list.entries)
             }
             None => (None, Vec::new()),
@@ -104,6 +127,7 @@
             seed: seed.and_then(|s| u64::from_str_radix(s, 16).ok()).unwrap_or_default(),
             sockets: usize::try_from(sockets).unwrap_or(1024).max(64),
             known,
+            edge,
             site,
             settings,
         })
--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -34,6 +34,10 @@
     served, refused, failed, client_left, overdue,
     /// Attempts, by how they ended.
     attempts, ok, errors, full, timed_out, connect_failed, reset, cancelled, moot, missed, spoilt, unsent, unfit,
+    /// Statements prepared on connections to instances, and those of them that an instance had forgotten.
+    prepared, reprepared,
+    /// Clients' requests to call something off, and those that named an open request.
+    cancel_requests, cancels,
     /// Connections to instances, probes, and calls to discovery.
     dials, dial_failures, probes, list_calls, list_failures,
 }
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -2,7 +2,7 @@
 //! of requests, attempt numbers, timers and deadlines. It never waits for another actor.
 
 use crate::counters::count;
-use crate::exchange::{Attempt, Ended, Incoming, Listed, Message, Reply, Statement};
+use crate::exchange::{Attempt, Ended, Incoming, Listed, Message, Reply, ReplyTo};
 use crate::peer::{self, Handle, Order};
 use crate::roster::Call;
 use crate::shared::Shared;
@@ -11,6 +11,7 @@
 use async_io::Timer;
 use futures_lite::future::or;
 use reelrill::*;
+use reelrill_statements::bound::Ask;
 use slog::{debug, error, warn};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
@@ -31,9 +32,9 @@
     /// The client's name for the request.
     id: u64,
     /// Taken once the final answer is given, or the client has left.
-    reply: Option<Sender<Reply>>,
+    reply: Option<ReplyTo>,
     deadline: Time,
-    statement: Rc<Statement>,
+    ask: Rc<Ask>,
     sends: u32,
     out: Vec<Out>,
 }
@@ -155,19 +156,18 @@
         }
     }
 
-    fn on_request(&mut self, incoming: Incoming, reply: Sender<Reply>) {
+    fn on_request(&mut self, incoming: Incoming, reply: ReplyTo) {
         count(&self.shared.counters.requests);
         let (request, id) = (incoming.request, incoming.id);
         if !self.named.insert(id) {
             // An id names one request: instances would take a second one under it for its copy.
             count(&self.shared.counters.rejected);
-            let _ = reply.try_send(Reply::Failed("this id is already in use"));
+            let _ = reply.to.try_send((reply.part, Reply::Failed("this id is already in use")));
             return;
         }
         let now = self.shared.clock.now();
         let deadline = incoming.arrived.saturating_add(incoming.wait.saturating_sub(MARGIN));
-        let statement = Rc::new(incoming.statement);
-        let open = Open { id, reply: Some(reply), deadline, statement, sends: 0, out: Vec::new() };
+        let open = Open { id, reply: Some(reply), deadline, ask: incoming.ask, sends: 0, out: Vec::new() };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline, Due::Deadline(request))));
         self.events.push_back(Event::Request(Request {
@@ -267,7 +267,7 @@
             return self.resolve(request, number, Ended::silent(Ending::Moot));
         }
         let until = limit.map_or(open.deadline, |l| open.deadline.min(now.saturating_add(l)));
-        let attempt = Attempt { request, number, statement: open.statement.clone(), until, given_up };
+        let attempt = Attempt { request, number, ask: open.ask.clone(), until, given_up };
         let unordered = match self.peers.get(&member) {
             Some(peer) => peer.orders.try_send(Order::Attempt(attempt)).err().map(|_| Ending::Unsent),
             None => Some(Ending::ConnectFailed),
@@ -321,7 +321,7 @@
     }
 
     /// Nothing is owed for the request from now on; returns where its answer was to go.
-    fn conclude(&mut self, request: RequestId) -> Option<Sender<Reply>> {
+    fn conclude(&mut self, request: RequestId) -> Option<ReplyTo> {
         let open = self.open.get_mut(&request)?;
         let reply = open.reply.take()?;
         self.named.remove(&open.id);
@@ -335,10 +335,10 @@
         count(match &reply {
             Reply::Served(_) => &c.served,
             Reply::Refused { .. } => &c.refused,
-            Reply::Failed(_) => &c.failed,
+            Reply::Failed(_) | Reply::Cancelled => &c.failed,
         });
         // A client that has just gone no longer listens; it says so by itself.
-        let _ = to.try_send(reply);
+        let _ = to.to.try_send((to.part, reply));
         self.forget(request);
     }
 
--- /dev/null
+++ b/router/src/edge.rs
@@ -0,0 +1,203 @@
+//! The project's own settings, in YAML: what the platform's configuration does not know. All of it is off or has
+//! a default; `deploy/edge.example.yaml` shows it whole.
+
+use reelrill_pgwire::oid;
+use reelrill_statements::account::Limits;
+use serde::Deserialize;
+use std::path::{Path, PathBuf};
+
+/// Why a file of settings can't be used: always the file, and where it can be told, line, column and field.
+#[derive(Debug, thiserror::Error)]
+pub enum EdgeError {
+    #[error("{path}: {source}")]
+    Read { path: PathBuf, source: std::io::Error },
+    #[error("{path}: {what}")]
+    Yaml { path: PathBuf, what: String },
+    #[error("{path}: {field}: {what}")]
+    Field { path: PathBuf, field: &'static str, what: &'static str },
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Edge {
+    pub extended: Extended,
+}
+
+/// Whether clients may use extended queries, and how instances are asked then.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Mode {
+    /// They get an error.
+    #[default]
+    Off,
+    /// Instances are asked in extended queries, too.
+    On,
+    /// Instances only take simple queries: values are written as literals.
+    Translate,
+}
+
+/// The type of the column `data`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum DataType {
+    #[default]
+    Bytea,
+    Text,
+}
+
+impl DataType {
+    pub fn oid(self) -> u32 {
+        match self {
+            DataType::Bytea => oid::BYTEA,
+            DataType::Text => oid::TEXT,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Extended {
+    pub mode: Mode,
+    pub data_type: DataType,
+    #[serde(with = "LimitsFields")]
+    pub limits: Limits,
+}
+
+/// The fields of [`Limits`], as the file names them.
+#[derive(Deserialize)]
+#[serde(remote = "Limits", deny_unknown_fields, default)]
+struct LimitsFields {
+    statements: usize,
+    all_statements: usize,
+    text_bytes: usize,
+    portals: usize,
+    value_bytes: usize,
+    commands: usize,
+    segment: usize,
+    reads: usize,
+    prepared: usize,
+}
+
+impl Default for LimitsFields {
+    fn default() -> LimitsFields {
+        let l = Limits::default();
+        LimitsFields {
+            statements: l.statements,
+            all_statements: l.all_statements,
+            text_bytes: l.text_bytes,
+            portals: l.portals,
+            value_bytes: l.value_bytes,
+            commands: l.commands,
+            segment: l.segment,
+            reads: l.reads,
+            prepared: l.prepared,
+        }
+    }
+}
+
+impl From<LimitsFields> for Limits {
+    fn from(f: LimitsFields) -> Limits {
+        Limits {
+            statements: f.statements,
+            all_statements: f.all_statements,
+            text_bytes: f.text_bytes,
+            portals: f.portals,
+            value_bytes: f.value_bytes,
+            commands: f.commands,
+            segment: f.segment,
+            reads: f.reads,
+            prepared: f.prepared,
+        }
+    }
+}
+
+impl Edge {
+    /// Reads a file; names that it does not know are errors.
+    pub fn load(path: &Path) -> Result<Edge, EdgeError> {
+        let path = || path.to_owned();
+        let text =
+            std::fs::read_to_string(path()).map_err(|source| EdgeError::Read { path: path(), source })?;
+        let mut field = String::new();
+        let read = serde_saphyr::with_deserializer_from_str(&text, |yaml| {
+            serde_path_to_error::deserialize(yaml).map_err(|e| {
+                field = e.path().to_string();
+                e.into_inner()
+            })
+        });
+        let edge: Edge = read.map_err(|e| {
+            // The message's first line says what and where; the rest quotes the file.
+            let whole = e.to_string();
+            let what = format!("{field}: {}", whole.lines().next().unwrap_or_default());
+            EdgeError::Yaml { path: path(), what }
+        })?;
+        let l = &edge.extended.limits;
+        let wrong = |field, what| Err(EdgeError::Field { path: path(), field, what });
+        for (field, value) in [
+            ("extended.limits.statements", l.statements),
+            ("extended.limits.portals", l.portals),
+            ("extended.limits.commands", l.commands),
+            ("extended.limits.segment", l.segment),
+            ("extended.limits.reads", l.reads),
+            ("extended.limits.prepared", l.prepared),
+        ] {
+            if value == 0 {
+                return wrong(field, "must be at least 1");
+            }
+            if value > 1 << 16 {
+                return wrong(field, "must be at most 65536");
+            }
+        }
+        if l.value_bytes < 64 * 1024 {
+            return wrong("extended.limits.value_bytes", "must hold one value, 65536 bytes");
+        }
+        Ok(edge)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    fn load(text: &str) -> Result<Edge, String> {
+        let file = tempfile::NamedTempFile::new().unwrap();
+        std::fs::write(file.path(), text).unwrap();
+        Edge::load(file.path()).map_err(|e| {
+            let said = e.to_string();
+            let path = file.path().display().to_string();
+            assert!(said.starts_with(&path), "{said}");
+            said[path.len() + 2..].to_owned()
+        })
+    }
+
+    #[test]
+    fn what_is_left_out_has_its_default() {
+        let edge = load("extended: {mode: translate, limits: {reads: 4}}").unwrap();
+        assert_eq!((edge.extended.mode, edge.extended.limits.reads), (Mode::Translate, 4));
+        assert_eq!(edge.extended.limits, Limits { reads: 4, ..Limits::default() });
+        assert_eq!(load("extended:\n  mode: off\n"), Ok(Edge::default()));
+        assert_eq!(load("{}"), Ok(Edge::default()));
+    }
+
+    /// Guards the person who edits the file: an error names the line and the field.
+    #[rstest]
+    #[case("extended:\n  mode: on\n  modes: off\n", &["extended.modes", "line 3"])]
+    #[case("extended:\n  mode: maybe\n", &["extended.mode", "maybe", "line 2"])]
+    #[case("extended:\n  limits:\n    reads: -1\n", &["extended.limits.reads", "line 3"])]
+    #[case("extended:\n  limits:\n    reads: 0\n", &["extended.limits.reads", "at least 1"])]
+    #[case("extended: [\n", &["line"])]
+    fn what_is_wrong_is_named(#[case] text: &str, #[case] wanted: &[&str]) {
+        let said = load(text).unwrap_err();
+        assert!(wanted.iter().all(|w| said.contains(w)), "{said}");
+    }
+
+    #[test]
+    fn the_example_shows_every_setting_with_its_default() {
+        let path = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/edge.example.yaml"));
+        assert_eq!(Edge::load(path).unwrap(), Edge::default());
+        let text = std::fs::read_to_string(path).unwrap();
+        for name in format!("{:?}", Edge::default()).split([' ', '{']).filter_map(|w| w.strip_suffix(':')) {
+            assert!(text.contains(&format!("{name}:")), "{name}");
+        }
+    }
+}
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -2,34 +2,12 @@
 //! front protocol, so that another one can be put before the same decisions.
 
 use reelrill::{Ending, Entry, ListKind, MemberId, RequestId, Span, Standing, Time};
+use reelrill_pgwire::Format;
+use reelrill_statements::bound::Ask;
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// What an instance is to be sent: the client's own words, in which only the waiting time may change.
-#[derive(Debug)]
-pub struct Statement {
-    text: Vec<u8>,
-    wait_digits: Range<usize>,
-}
-
-impl Statement {
-    /// `wait_digits` is where the waiting time, in milliseconds, stands in `text`.
-    pub fn new(text: Vec<u8>, wait_digits: Range<usize>) -> Statement {
-        Statement { text, wait_digits }
-    }
-
-    /// The text with the time that the router will wait, in whole milliseconds.
-    pub fn with_wait(&self, wait: Span) -> Vec<u8> {
-        let mut text = Vec::with_capacity(self.text.len() + 8);
-        text.extend_from_slice(&self.text[..self.wait_digits.start]);
-        text.extend_from_slice((wait / 1_000_000).max(1).to_string().as_bytes());
-        text.extend_from_slice(&self.text[self.wait_digits.end..]);
-        text
-    }
-}
-
 /// A client's request as a front has read it.
 #[derive(Debug)]
 pub struct Incoming {
@@ -46,23 +24,45 @@
     /// How long the client waits from `arrived` on.
     pub wait: Span,
     pub arrived: Time,
-    pub statement: Statement,
+    pub ask: Rc<Ask>,
 }
 
 /// The one final answer to a request.
 #[derive(Debug)]
 pub enum Reply {
     Served(Answer),
-    Refused { retry_after: Option<Span> },
+    Refused {
+        retry_after: Option<Span>,
+    },
     Failed(&'static str),
+    /// Its client called it off.
+    Cancelled,
+}
+
+/// Where the one reply goes: a client's parts share a channel that has room for all that it has out.
+#[derive(Debug, Clone)]
+pub struct ReplyTo {
+    pub part: u64,
+    pub to: async_channel::Sender<(u64, Reply)>,
 }
 
-/// A whole answer as an instance gave it.
+/// A whole answer as an instance gave it: one value.
 #[derive(Debug)]
 pub struct Answer {
-    pub columns: Vec<u8>,
-    pub row: Vec<u8>,
-    pub tag: Vec<u8>,
+    /// What the instance said of it; none: it was asked for in a format, and is in that.
+    pub column: Option<Column>,
+    pub value: Vec<u8>,
+    /// What was done, such as `SELECT 1`.
+    pub tag: Box<str>,
+}
+
+/// The column of a value.
+#[derive(Debug)]
+pub struct Column {
+    pub name: Box<str>,
+    /// Where it comes from and its type; passed on as it came.
+    pub kind: [u8; 16],
+    pub format: Format,
 }
 
 /// How an attempt ended on its connection.
@@ -91,7 +91,7 @@
 /// What goes into the decider's mailbox.
 #[derive(Debug)]
 pub enum Message {
-    Request { incoming: Incoming, reply: async_channel::Sender<Reply> },
+    Request { incoming: Incoming, reply: ReplyTo },
     ClientLeft { request: RequestId },
     Ended { request: RequestId, attempt: u32, ended: Ended },
     Probed { member: MemberId, ended: Ended },
@@ -103,7 +103,7 @@
 pub struct Attempt {
     pub request: RequestId,
     pub number: u32,
-    pub statement: Rc<Statement>,
+    pub ask: Rc<Ask>,
     /// When the router stops waiting.
     pub until: Time,
     /// Closed once the decider has given the attempt up.
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -19,7 +19,7 @@
     StartupTimeout,
     /// The rest of a message did not come.
     Stalled,
-    /// A client's cancel request: there is nothing to do for it.
+    /// A client's request to call off what another connection waits for; it gets no answer.
     CancelRequest,
     /// Bytes that are no message of the protocol.
     Malformed,
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -2,15 +2,16 @@
 #![forbid(unsafe_code)]
 
 mod buffer;
+mod cli;
 mod client;
 mod config;
 mod counters;
 mod decider;
+mod edge;
 mod exchange;
 mod http;
 mod log;
 mod peer;
-mod pgwire;
 mod roster;
 mod shared;
 
@@ -18,6 +19,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use clap::Parser as _;
 use futures_lite::StreamExt as _;
 use futures_lite::future::or;
 use shared::Shared;
@@ -36,8 +38,6 @@
 
 #[derive(Debug, thiserror::Error)]
 enum StartError {
-    #[error(transparent)]
-    Config(#[from] config::ConfigError),
     #[error("settings: {0}")]
     Settings(#[from] reelrill::SettingsError),
     #[error("{0}: {1}")]
@@ -46,22 +46,42 @@
     Signals(std::io::Error),
 }
 
+/// The exit code of a file that makes no sense.
+const WRONG: u8 = 2;
+
 fn main() -> ExitCode {
-    let config = match config::Config::load() {
-        Ok(config) => config,
-        Err(e) => {
-            eprintln!("reelrill: {e}");
-            return ExitCode::FAILURE;
-        }
+    let cli = cli::Cli::parse();
+    let wrong = |e: &dyn std::fmt::Display, code| {
+        eprintln!("reelrill: {e}");
+        code
     };
+    match cli.command() {
+        cli::Command::Serve => serve(&cli).unwrap_or_else(|e| wrong(&e, ExitCode::FAILURE)),
+        cli::Command::Check { file } => match cli::check(&file) {
+            Ok(what) => {
+                println!("{}: {what}, nothing wrong with it", file.display());
+                ExitCode::SUCCESS
+            }
+            Err(e) => wrong(&e, ExitCode::from(WRONG)),
+        },
+        cli::Command::Version => {
+            println!("reelrill {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Serves until the router is told to end. An error comes before anything has been served.
+fn serve(cli: &cli::Cli) -> Result<ExitCode, cli::CheckError> {
+    let config = config::Config::load(cli.settings()?)?;
     let (log, _flush) = log::start(&config.name);
-    match start(config, &log) {
+    Ok(match start(config, &log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             error!(log, "cannot start"; "error" => %e);
             ExitCode::FAILURE
         }
-    }
+    })
 }
 
 fn listener(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
--- a/router/src/peer/link.rs
+++ b/router/src/peer/link.rs
@@ -2,14 +2,18 @@
 
 use crate::buffer::Buffer;
 use crate::counters::count;
-use crate::exchange::Answer;
+use crate::exchange::{Answer, Column};
 use crate::log::CloseReason;
-use crate::pgwire::codec;
 use crate::shared::{Shared, Slot};
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt as _;
 use futures_lite::future::or;
-use reelrill::{Ending, MemberId, Role, Standing, Time};
+use reelrill::{Ending, MemberId, Role, Span, Standing, Time};
+use reelrill_pgwire::frontend::{self, Object};
+use reelrill_pgwire::{backend, code, frame, text};
+use reelrill_statements::bound::{Ask, Bound};
+use reelrill_statements::prepared::{Need, Prepared};
+use reelrill_statements::template::{self, Kind};
 use slog::info;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -28,6 +32,8 @@
     /// When it was last given back.
     pub idle_since: Time,
     reason: CloseReason,
+    /// The statements prepared here.
+    prepared: Prepared,
     _slot: Slot,
 }
 
@@ -54,9 +60,13 @@
 /// All that came back for one query.
 #[derive(Debug, Default)]
 pub struct Response {
-    columns: Option<Vec<u8>>,
-    row: Option<Vec<u8>>,
-    tag: Option<Vec<u8>>,
+    /// Of a prepared statement: what must be confirmed before a row may come, in order. There is no description
+    /// then; the value is in the format that was asked for.
+    confirms: &'static [u8],
+    is_prepared: bool,
+    column: Option<Column>,
+    value: Option<Vec<u8>>,
+    tag: Option<Box<str>>,
     code: Option<String>,
     pub standing: Standing,
     pub report: Standing,
@@ -77,9 +87,11 @@
 /// the statement (data, syntax, protocol).
 pub fn ending_of(code: &str) -> Ending {
     match code {
-        "25006" | "72000" => Ending::Miss,
-        codec::TOO_MANY => Ending::Full,
-        codec::PROTOCOL_VIOLATION => Ending::Rejected,
+        code::READ_ONLY | code::BEHIND => Ending::Miss,
+        code::TOO_MANY => Ending::Full,
+        code::PROTOCOL_VIOLATION => Ending::Rejected,
+        // Only a prepared statement ends so: the instance has forgotten it, twice in a row.
+        code::NO_STATEMENT => Ending::Unsent,
         _ if code.starts_with("22") || code.starts_with("42") => Ending::Rejected,
         _ => Ending::Error,
     }
@@ -91,8 +103,8 @@
         if let Some(code) = &self.code {
             return (ending_of(code), None);
         }
-        match (self.columns, self.row, self.tag) {
-            (Some(columns), Some(row), Some(tag)) => (Ending::Served, Some(Answer { columns, row, tag })),
+        match (self.value, self.tag) {
+            (Some(value), Some(tag)) => (Ending::Served, Some(Answer { column: self.column, value, tag })),
             _ => (Ending::Spoilt, None),
         }
     }
@@ -102,20 +114,31 @@
         self.tag.is_some() || self.code.is_some()
     }
 
+    /// Its first byte has come.
+    fn has_begun(&self) -> bool {
+        self.column.is_some() || self.value.is_some() || self.is_whole()
+    }
+
     /// Takes one message in its place: one description, one row of one column, one end; or one error before any
     /// of these. Serving anything else would hand a client what no instance made for it.
     fn take(&mut self, tag: u8, body: &[u8]) -> Step {
+        let may_have_row = if self.is_prepared { self.confirms.is_empty() } else { self.column.is_some() };
         match tag {
-            b'T' if self.columns.is_none() && !self.is_whole() && codec::describes_one(body) => {
-                self.columns = Some(body.to_vec());
-            }
-            b'D' if self.columns.is_some() && self.row.is_none() && codec::single_value(body).is_some() => {
-                self.row = Some(body.to_vec());
-            }
-            b'C' if self.row.is_some() && !self.is_whole() && codec::is_text(body) => {
-                self.tag = Some(body.to_vec());
+            b'T' if !self.is_prepared && !self.has_begun() => match backend::one_column(body) {
+                Some(c) => self.column = Some(Column { name: c.name.into(), kind: c.kind, format: c.format }),
+                None => return Step::Stray,
+            },
+            b'D' if may_have_row && self.value.is_none() && !self.is_whole() => {
+                match backend::single_value(body) {
+                    Some(value) => self.value = Some(value.to_vec()),
+                    None => return Step::Stray,
+                }
             }
-            b'E' if self.columns.is_none() && !self.is_whole() => match codec::error_code(body) {
+            b'C' if self.value.is_some() && !self.is_whole() => match backend::only_text(body) {
+                Some(tag) => self.tag = Some(tag.into()),
+                None => return Step::Stray,
+            },
+            b'E' if !self.has_begun() => match backend::error_code(body) {
                 Some(code) => self.code = Some(code.to_owned()),
                 None => return Step::Stray,
             },
@@ -125,6 +148,9 @@
                 self.ready = true;
                 return Step::Ready;
             }
+            _ if self.confirms.first() == Some(&tag) && body.is_empty() && !self.has_begun() => {
+                self.confirms = &self.confirms[1..];
+            }
             _ => return Step::Stray,
         }
         Step::More
@@ -132,12 +158,12 @@
 
     /// The one value as text: the report that a probe asks for.
     pub fn text(&self) -> Option<&str> {
-        std::str::from_utf8(codec::single_value(self.row.as_deref()?)?).ok()
+        std::str::from_utf8(self.value.as_deref()?).ok()
     }
 
     fn parameter(&mut self, body: &[u8]) {
-        let Some((name, rest)) = codec::text(body) else { return };
-        let Some((value, _)) = codec::text(rest) else { return };
+        let Some((name, rest)) = text(body) else { return };
+        let Some((value, _)) = text(rest) else { return };
         match name {
             "part" if value == "master" => self.standing.role = Some(Role::Primary),
             "part" if value == "replica" => self.standing.role = Some(Role::Replica),
@@ -199,6 +225,7 @@
         let stream = Async::<TcpStream>::connect(endpoint).await.map_err(failed)?;
         stream.get_ref().set_nodelay(true).map_err(failed)?;
         let memory = shared.memory.clone();
+        let limit = shared.config.edge.extended.limits.prepared;
         let mut link = Link {
             idle_since: shared.clock.now(),
             shared,
@@ -207,15 +234,16 @@
             member,
             endpoint,
             reason: CloseReason::DialFailed,
+            prepared: Prepared::new(limit),
             _slot: slot,
         };
         let mut hello = Vec::new();
-        codec::put_startup(&mut hello);
+        frontend::put_startup(&mut hello);
         (&link.stream).write_all(&hello).await.map_err(failed)?;
         loop {
-            match codec::frame(link.buffer.bytes()) {
+            match frame::within(link.buffer.bytes(), frame::LARGEST_WORD) {
                 Ok(Some((b'E', body, _))) => {
-                    let ending = codec::error_code(body).map_or(Ending::ConnectFailed, ending_of);
+                    let ending = backend::error_code(body).map_or(Ending::ConnectFailed, ending_of);
                     link.reason = CloseReason::TurnedAway;
                     return Err(if ending == Ending::Full { ending } else { Ending::ConnectFailed });
                 }
@@ -247,22 +275,87 @@
         self.buffer.bytes().is_empty() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Asks for what a request wants, within the time that the router will wait.
+    pub async fn ask(&mut self, ask: &Ask, wait: Span) -> Result<Response, Fault> {
+        match ask {
+            Ask::Simple(simple) => self.query(&simple.with_wait(wait)).await,
+            Ask::Bound(bound) => {
+                let response = self.run(bound, wait).await?;
+                let forgot = response.code.as_deref() == Some(code::NO_STATEMENT);
+                if !forgot || !response.ready {
+                    return Ok(response);
+                }
+                // It has lost the statement, and nothing has run: once more, with a Parse.
+                count(&self.shared.counters.reprepared);
+                self.prepared.forgotten(bound.template().id);
+                self.run(bound, wait).await
+            }
+        }
+    }
+
     /// Sends one query and reads all of its response.
     pub async fn query(&mut self, text: &[u8]) -> Result<Response, Fault> {
         let mut out = Vec::with_capacity(text.len() + 6);
-        codec::put_query(&mut out, text);
+        frontend::put_query(&mut out, text);
+        let runs_from = out.len();
+        self.exchange(&out, runs_from, Response::default()).await
+    }
+
+    /// Runs a prepared statement: all that it needs here in one write, a Parse only where it is lacking.
+    async fn run(&mut self, bound: &Bound, wait: Span) -> Result<Response, Fault> {
+        let (template, mut out) = (bound.template(), Vec::new());
+        let need = self.prepared.need(template.id);
+        let name = template.name();
+        let confirms: &[u8] = match need {
+            Need::Ready => b"2",
+            Need::Prepare { evict: None } => b"12",
+            Need::Prepare { evict: Some(old) } => {
+                frontend::put_close(&mut out, Object::Statement, &template::name(old));
+                b"312"
+            }
+        };
+        if let (Need::Prepare { .. }, Kind::Request(request)) = (need, &template.kind) {
+            count(&self.shared.counters.prepared);
+            frontend::put_parse(&mut out, &name, &request.text, &request.types);
+        }
+        bound.put_bind(&mut out, wait);
+        frontend::put_execute(&mut out, "", 0);
+        // From here on it may run, whether or not the Sync behind it arrives.
+        let runs_from = out.len();
+        frontend::put_sync(&mut out);
+        let response = Response { confirms, is_prepared: true, ..Response::default() };
+        let response = self.exchange(&out, runs_from, response).await?;
+        if need != Need::Ready && response.confirms.len() < b"12".len() {
+            self.prepared.confirmed(template.id);
+        }
+        Ok(response)
+    }
+
+    /// Writes what asks for one response, and reads all of it. Once the bytes up to `runs_from` are written, the
+    /// request may run.
+    async fn exchange(
+        &mut self,
+        out: &[u8],
+        runs_from: usize,
+        mut response: Response,
+    ) -> Result<Response, Fault> {
         // Looked at again right before the write: what came unasked would be taken for this query's answer.
         if !self.is_open() {
             self.reason = CloseReason::Spoilt;
             return Err(Fault::Stale);
         }
-        if (&self.stream).write_all(&out).await.is_err() {
-            self.reason = CloseReason::Reset;
-            return Err(Fault::NotWritten);
+        let mut written = 0;
+        while written < out.len() {
+            match (&self.stream).write(&out[written..]).await {
+                Ok(n) if n > 0 => written += n,
+                _ => {
+                    self.reason = CloseReason::Reset;
+                    return Err(if written < runs_from { Fault::NotWritten } else { Fault::Broken });
+                }
+            }
         }
-        let mut response = Response::default();
         let fault = loop {
-            let step = match codec::answer_frame(self.buffer.bytes()) {
+            let step = match frame::answer(self.buffer.bytes()) {
                 Ok(Some((tag, body, len))) => {
                     let step = response.take(tag, body);
                     self.buffer.consume(len);
@@ -295,7 +388,7 @@
     /// Reads more of a response. Once its first byte is there, the rest must not take long: an answer whose
     /// length does not fit would otherwise hold its request until the client gives up.
     async fn more(&mut self, so_far: &Response) -> io::Result<usize> {
-        let begun = !self.buffer.bytes().is_empty() || so_far.columns.is_some() || so_far.is_whole();
+        let begun = !self.buffer.bytes().is_empty() || so_far.has_begun();
         let stalled = async {
             if !begun {
                 futures_lite::future::pending::<()>().await;
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -282,13 +282,13 @@
         let _ = news.send(News::Back(link)).await;
         return;
     }
-    let text = a.statement.with_wait(a.until.saturating_sub(shared.clock.now()));
+    let wait = a.until.saturating_sub(shared.clock.now());
     let given_up = async {
         // Nothing is ever sent: it ends when the decider drops its end.
         let _ = a.given_up.recv().await;
         None
     };
-    let Some(result) = or(async { Some(link.query(&text).await) }, given_up).await else { return };
+    let Some(result) = or(async { Some(link.ask(&a.ask, wait).await) }, given_up).await else { return };
     let ended = match result {
         Err(Fault::Stale) => Ended::silent(Ending::Unsent),
         Err(Fault::NotWritten) => Ended::silent(Ending::ConnectFailed),
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -3,11 +3,17 @@
 use crate::buffer::Memory;
 use crate::config::Config;
 use crate::counters::Counters;
+use crate::edge::Mode;
 use crate::exchange::Message;
 use event_listener::{Event, IntoNotification as _};
 use reelrill::Time;
+use reelrill_statements::account::Accounts;
+use reelrill_statements::admit::Catalog;
+use reelrill_statements::plan::Common;
+use reelrill_statements::template::Templates;
 use slog::Logger;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -42,6 +48,7 @@
     /// Holders that could go, by what they are.
     useless: Event,
     idle: Event,
+    stateful: Event,
     /// Holders of which nothing is known yet.
     fresh: Cell<usize>,
 }
@@ -64,12 +71,15 @@
     Useless,
     /// A connection between requests.
     Idle,
+    /// The same, with prepared statements that its client would have to prepare again: it goes last.
+    Stateful,
 }
 
 impl Slots {
     fn new(most: usize) -> Rc<Slots> {
-        let (freed, useless, idle) = (Event::new(), Event::new(), Event::new());
-        Rc::new(Slots { used: Cell::new(0), most, freed, useless, idle, fresh: Cell::new(0) })
+        let event = Event::new;
+        let (freed, useless, idle, stateful) = (event(), event(), event(), event());
+        Rc::new(Slots { used: Cell::new(0), most, freed, useless, idle, stateful, fresh: Cell::new(0) })
     }
 
     pub fn take(self: &Rc<Self>) -> Option<Slot> {
@@ -102,8 +112,11 @@
     /// Asks the holder that has listened longest to give its slot up, the useless ones first. Where many are
     /// fresh, those that will turn out useless are waited for: the idle ones are in use.
     pub fn want(&self) {
-        if self.useless.notify(1.additional()) == 0 && self.fresh.get() * 4 <= self.used.get() {
-            self.idle.notify(1.additional());
+        if self.useless.notify(1.additional()) == 0
+            && self.fresh.get() * 4 <= self.used.get()
+            && self.idle.notify(1.additional()) == 0
+        {
+            self.stateful.notify(1.additional());
         }
     }
 
@@ -111,6 +124,7 @@
         match from {
             Holder::Useless => self.useless.listen().await,
             Holder::Idle => self.idle.listen().await,
+            Holder::Stateful => self.stateful.listen().await,
         }
     }
 
@@ -168,6 +182,67 @@
     /// Where bytes go that nobody wants; one for all connections.
     pub scratch: RefCell<Vec<u8>>,
     requests: Cell<u64>,
+    /// What all clients' prepared statements and pipelines share.
+    pub common: Rc<Common>,
+    pub cancels: Cancels,
+}
+
+/// The clients that may call off what they wait for, by the numbers that BackendKeyData told them.
+#[derive(Default)]
+pub struct Cancels {
+    clients: RefCell<HashMap<u32, (u32, Rc<Cancel>)>>,
+    next: Cell<u32>,
+}
+
+/// A client's wish to call off what it waits for.
+#[derive(Default)]
+pub struct Cancel {
+    wanted: Cell<bool>,
+    event: Event,
+}
+
+impl Cancel {
+    /// What was wished before does not count for what comes now.
+    pub fn reset(&self) {
+        self.wanted.set(false);
+    }
+
+    pub async fn wait(&self) {
+        while !self.wanted.get() {
+            self.event.listen().await;
+        }
+    }
+}
+
+impl Cancels {
+    /// Numbers that no other open client has: the process, and a secret.
+    pub fn register(&self, cancel: &Rc<Cancel>) -> (u32, u32) {
+        let mut clients = self.clients.borrow_mut();
+        // Clients are far fewer than numbers.
+        let free = |n: &u32| *n != 0 && !clients.contains_key(n);
+        let process =
+            std::iter::successors(Some(self.next.get().wrapping_add(1)), |n| Some(n.wrapping_add(1)));
+        let process = process.into_iter().find(free).unwrap_or_default();
+        self.next.set(process);
+        let secret = rand::random();
+        clients.insert(process, (secret, cancel.clone()));
+        (process, secret)
+    }
+
+    pub fn remove(&self, process: u32) {
+        self.clients.borrow_mut().remove(&process);
+    }
+
+    /// Calls off what a client waits for; says whether the numbers are those of one.
+    pub fn cancel(&self, process: u32, secret: u32) -> bool {
+        let clients = self.clients.borrow();
+        let found = clients.get(&process).filter(|(known, _)| *known == secret);
+        if let Some((_, cancel)) = found {
+            cancel.wanted.set(true);
+            cancel.event.notify(usize::MAX);
+        }
+        found.is_some()
+    }
 }
 
 /// Kept back for the listener, the reactor, the log, discovery and what a library may open.
@@ -186,6 +261,14 @@
         let most = config.sockets - SPARE;
         let for_clients = most * CLIENTS.0 / CLIENTS.1;
         let clock = Clock::new();
+        let extended = &config.edge.extended;
+        let common = Rc::new(Common {
+            templates: Templates::new(extended.limits.text_bytes, extended.data_type.oid()),
+            limits: extended.limits,
+            accounts: Accounts::new(&extended.limits),
+            catalog: Catalog::new(config.site.class_names.clone(), config.site.settings.classes.clone()),
+            translate: extended.mode == Mode::Translate,
+        });
         Rc::new(Shared {
             clients: Slots::new(for_clients),
             upstream: Slots::new(most - for_clients),
@@ -200,6 +283,8 @@
             decider,
             scratch: RefCell::new(vec![0; SCRATCH]),
             requests: Cell::new(0),
+            common,
+            cancels: Cancels::default(),
         })
     }
 
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -12,7 +12,7 @@
     let instance = Instance::start("master", act);
     let list = vec![target("s-1", instance.address, "ready")];
     let discovery = Discovery::start(Some(list.clone()));
-    let router = Router::start(&discovery, &list, 1024);
+    let router = start(&discovery, &list, 1024);
     (instance, discovery, router)
 }
 
@@ -173,7 +173,7 @@
     client.stream.write_all(&query(&read(1, 20_000))).unwrap();
     assert!(instance.seen.wait_for(LIMIT, |s| (s.queries.len() == 1).then_some(())).is_some());
     match how {
-        Leave::Terminate => client.stream.write_all(&message(b'X', b"")).unwrap(),
+        Leave::Terminate => client.stream.write_all(&[b'X', 0, 0, 0, 4]).unwrap(),
         Leave::Eof => client.stream.shutdown(std::net::Shutdown::Write).unwrap(),
     }
     assert!(router.counted("client_left=1") && router.counted("cancelled=1"));
@@ -190,7 +190,7 @@
     assert!(instance.seen.wait_for(LIMIT, |s| (s.queries.len() == 1).then_some(())).is_some());
     assert_eq!(router.client().ask(&read(1, 20_000)).code, "58000");
     let mut leaving = router.client();
-    leaving.stream.write_all(&[query(&read(1, 20_000)), message(b'X', b"")].concat()).unwrap();
+    leaving.stream.write_all(&[query(&read(1, 20_000)), vec![b'X', 0, 0, 0, 4]].concat()).unwrap();
     while leaving.answer().is_some() {}
     instance.act.change(|a| *a = Act::Serve);
     assert_eq!(owner.answer().unwrap().value, "0000000000000001");
@@ -207,7 +207,7 @@
     let discovery = Discovery::start(Some(list.clone()));
     let mut settings = settings();
     settings["ceilings"]["mayCancel"] = false.into();
-    let router = Router::start_with(&discovery, &list, 1024, settings);
+    let router = start_with(&discovery, &list, 1024, settings, None);
     let mut client = router.client();
     client.stream.write_all(&query(&read(1, 2000))).unwrap();
     assert!(instance.seen.wait_for(LIMIT, |s| (s.queries.len() == 1).then_some(())).is_some());
@@ -271,7 +271,7 @@
 fn extended_queries_are_declined_in_step() {
     let (_instance, _discovery, router) = one(Act::Serve);
     let mut client = router.client();
-    let sequence = [message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b"\0\0"), message(b'S', b"")];
+    let sequence = [parse("", "SELECT 1", &[]), run("", &[]), sync()];
     client.stream.write_all(&sequence.concat()).unwrap();
     let answer = client.answer().unwrap();
     assert_eq!((&*answer.tags, &*answer.code), ("EZ", "0A000"));
@@ -283,7 +283,7 @@
 fn the_empty_query_waits_until_the_router_can_serve() {
     let instance = Instance::start("master", Act::Serve);
     let discovery = Discovery::start(None);
-    let router = Router::start(&discovery, &[], 1024);
+    let router = start(&discovery, &[], 1024);
     let mut client = router.client();
     client.stream.write_all(&query("")).unwrap();
     // Several calls have failed, so the router has long looked at the query.
@@ -305,7 +305,7 @@
     let discovery = Discovery::start(None);
     discovery.manner.change(|m| *m = manner);
     discovery.publish(vec![target("s-1", instance.address, "ready")]);
-    let router = Router::start(&discovery, &[], 1024);
+    let router = start(&discovery, &[], 1024);
     let mut client = router.client();
     assert_eq!(client.ask("").tags, "IZ");
     assert_eq!(client.ask(&read(1, 5000)).value, "0000000000000001");
@@ -317,7 +317,7 @@
     let (old, new) = (Instance::start("replica", Act::Serve), Instance::start("replica", Act::Serve));
     let list = |state| vec![target("s-1", old.address, state), target("s-2", new.address, "ready")];
     let discovery = Discovery::start(Some(list("ready")));
-    let router = Router::start(&discovery, &list("ready"), 1024);
+    let router = start(&discovery, &list("ready"), 1024);
     let mut client = router.client();
     discovery.publish(list("draining"));
     // The next call of the watch carries the version that names it as draining.
@@ -412,7 +412,7 @@
 
 /// Guards the old configuration against a file that makes no sense, and says what takes a restart.
 #[rstest]
-#[case("discovery", "nowhere", "RELAY_DISCOVERY is missing or is no address")]
+#[case("discovery", "nowhere", "discovery is missing or is no address")]
 #[case("settings", "none", "familyInfo is missing")]
 #[case("name", "n7", "takes effect at the next start")]
 fn a_reload_says_what_it_did_not_take(#[case] field: &str, #[case] value: &str, #[case] wanted: &str) {
@@ -441,7 +441,7 @@
     let instance = Instance::start("master", Act::Serve);
     let list = vec![target("s-1", instance.address, "ready")];
     let discovery = Discovery::start(Some(list.clone()));
-    let router = Router::start(&discovery, &list, 64);
+    let router = start(&discovery, &list, 64);
     let mut kept = Vec::new();
     for id in 1..=40 {
         let mut client = router.client();
@@ -459,7 +459,7 @@
     let list = vec![target("s-1", instance.address, "ready")];
     let discovery = Discovery::start(Some(list.clone()));
     // At this limit clients have 22 descriptors.
-    let router = Router::start(&discovery, &list, 64);
+    let router = start(&discovery, &list, 64);
     let ask = |id: u64| {
         let mut client = router.client();
         assert_eq!(client.ask(&read(id, 5000)).value, format!("{id:016x}"));
@@ -484,7 +484,7 @@
     let instance = Instance::start("master", Act::Serve);
     let list = vec![target("s-1", instance.address, "ready")];
     let discovery = Discovery::start(Some(list.clone()));
-    let router = Router::start(&discovery, &list, 64);
+    let router = start(&discovery, &list, 64);
     let mut kept = router.client();
     assert_eq!(kept.ask(&read(1, 5000)).value, "0000000000000001");
     let mut silent: Vec<Client> = (0..100).map(|_| Client::connect(router.address)).collect();
@@ -524,7 +524,7 @@
     let list: Vec<_> = instances.iter().enumerate().map(listed).collect();
     let discovery = Discovery::start(Some(list.clone()));
     // At the least number that the router takes, sixteen are for instances.
-    let router = Router::start(&discovery, &list, 64);
+    let router = start(&discovery, &list, 64);
     let mut client = router.client();
     for id in 0..72 {
         let text = read(id, 5000).replace("cluster=2", &format!("cluster={}", id / 3));
@@ -578,7 +578,7 @@
     let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let list = vec![target("s-1", silent.local_addr().unwrap(), "ready")];
     let discovery = Discovery::start(Some(list.clone()));
-    let router = Router::start(&discovery, &list, 1024);
+    let router = start(&discovery, &list, 1024);
     let answer = router.client().ask(&read(1, 2000));
     assert_eq!(answer.code, "53300");
     assert!(router.logged("reason: dial_failed"));
--- /dev/null
+++ b/standin/src/discovery.rs
@@ -0,0 +1,118 @@
+//! The list of instances over HTTP, as the platform's discovery serves it.
+
+use crate::watched::{LIMIT, Watched};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// One line of the list.
+pub fn target(uid: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "model": "m", "pod_group": 2,
+           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+}
+
+/// How discovery answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    /// As the protocol says.
+    Proper,
+    /// Calls that may wait are answered at once, news or none.
+    Hasty,
+    /// In two chunks.
+    Chunked,
+    /// Without a length, closing the connection after it.
+    Closing,
+    /// Takes the call and says nothing.
+    Silent,
+}
+
+/// Discovery on a port of its own.
+pub struct Discovery {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The version and the whole list; none: calls fail.
+    pub list: Watched<(u64, Option<Vec<Value>>)>,
+    /// The paths asked for.
+    pub calls: Watched<Vec<String>>,
+    /// How it answers.
+    pub manner: Watched<Manner>,
+}
+
+impl Discovery {
+    /// Starts on a free port, with this list; none: calls fail.
+    pub fn start(list: Option<Vec<Value>>) -> Discovery {
+        Discovery::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), list)
+    }
+
+    /// The same at an address.
+    pub fn start_at(at: SocketAddr, list: Option<Vec<Value>>) -> Discovery {
+        let listener = TcpListener::bind(at).expect("a port for discovery");
+        let address = listener.local_addr().expect("an address");
+        let (list, calls) = (Watched::new((1, list)), Watched::new(Vec::new()));
+        let manner = Watched::new(Manner::Proper);
+        let (l, c, h) = (list.clone(), calls.clone(), manner.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (l, c, h) = (l.clone(), c.clone(), h.clone());
+                std::thread::spawn(move || Self::serve(stream, &l, &c, &h));
+            }
+        });
+        Discovery { address, list, calls, manner }
+    }
+
+    fn serve(
+        stream: TcpStream,
+        list: &Watched<(u64, Option<Vec<Value>>)>,
+        calls: &Watched<Vec<String>>,
+        manner: &Watched<Manner>,
+    ) -> Option<()> {
+        let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
+        loop {
+            let path = lines.next()?.ok()?.split(' ').nth(1)?.to_owned();
+            while !lines.next()?.ok()?.is_empty() {}
+            calls.change(|c| c.push(path.clone()));
+            let field = |name: &str| path.split(name).nth(1).and_then(|t| t.split('&').next()?.parse().ok());
+            let since: u64 = field("since=").unwrap_or(0);
+            let wait = Duration::from_millis(field("timeout_ms=").unwrap_or(0));
+            let manner = manner.wait_for(LIMIT, |m| (*m != Manner::Silent).then_some(*m))?;
+            let hasty = manner == Manner::Hasty;
+            list.wait_for(wait, |(rev, l)| (hasty || *rev > since || l.is_none()).then_some(()));
+            let body = list.change(|(rev, l)| {
+                l.as_ref().map(|l| {
+                    let none = Vec::new();
+                    json!({"rev": rev, "all": true, "targets": if *rev > since { l } else { &none }})
+                })
+            });
+            let answer = match body {
+                // Nothing new: changes, of which there are none.
+                Some(b) if b["targets"] == json!([]) => json!({"rev": since, "all": false, "targets": []}),
+                Some(b) => b,
+                None => {
+                    (&stream).write_all(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n").ok()?;
+                    continue;
+                }
+            };
+            let text = answer.to_string();
+            let (a, b) = text.split_at(text.len() / 2);
+            let rest = match manner {
+                Manner::Chunked => format!(
+                    "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n0\r\n\r\n",
+                    a.len(),
+                    b.len()
+                ),
+                Manner::Closing => format!("Connection: close\r\n\r\n{text}"),
+                _ => format!("Content-Length: {}\r\n\r\n{text}", text.len()),
+            };
+            (&stream).write_all(format!("HTTP/1.1 200 OK\r\n{rest}").as_bytes()).ok()?;
+            if manner == Manner::Closing {
+                return None;
+            }
+        }
+    }
+
+    /// Tells a new list, under the next version.
+    pub fn publish(&self, targets: Vec<Value>) {
+        self.list.change(|l| *l = (l.0 + 1, Some(targets)));
+    }
+}
--- /dev/null
+++ b/standin/src/group.rs
@@ -0,0 +1,199 @@
+//! A group of instances: who leads it, what was written, which keys it remembers, and a ledger of all that ran.
+
+use crate::watched::Watched;
+use std::collections::HashMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// What a member was asked, by kind of message.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Statements prepared.
+    pub parses: usize,
+    /// Portals made.
+    pub binds: usize,
+    /// Portals run.
+    pub executes: usize,
+    /// Statements closed.
+    pub closes: usize,
+    /// Simple queries.
+    pub queries: usize,
+}
+
+/// All that ran.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// By member.
+    pub members: HashMap<String, Counts>,
+    /// Each time that a booking took effect, by key: the member that took it.
+    pub bookings: HashMap<String, Vec<String>>,
+    /// Repeats that the group dropped.
+    pub repeats: usize,
+}
+
+impl Ledger {
+    /// The keys that took effect more than once.
+    pub fn run_twice(&self) -> Vec<&str> {
+        self.bookings.iter().filter(|(_, by)| by.len() > 1).map(|(k, _)| &**k).collect()
+    }
+
+    /// All members' counts together.
+    pub fn total(&self) -> Counts {
+        let mut total = Counts::default();
+        for c in self.members.values() {
+            total.parses += c.parses;
+            total.binds += c.binds;
+            total.executes += c.executes;
+            total.closes += c.closes;
+            total.queries += c.queries;
+        }
+        total
+    }
+}
+
+#[derive(Debug)]
+struct World {
+    primary: String,
+    lag: Duration,
+    window: Duration,
+    rows: HashMap<String, (String, u64)>,
+    keys: HashMap<String, (Instant, String, u64)>,
+    ledger: Ledger,
+}
+
+/// A group, shared by its instances.
+#[derive(Debug, Clone)]
+pub struct Group(Watched<World>);
+
+/// What a member answers: a value and its position, or an error's code and text.
+pub type Outcome = Result<(String, u64), (&'static str, &'static str)>;
+
+/// Now, in Unix milliseconds.
+pub fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+impl Group {
+    /// A group led by the member of this name, whose replicas are `lag` behind, and which drops a repeat of a key
+    /// within `window`.
+    pub fn new(primary: &str, lag: Duration, window: Duration) -> Group {
+        let (rows, keys, ledger) = (HashMap::new(), HashMap::new(), Ledger::default());
+        Group(Watched::new(World { primary: primary.to_owned(), lag, window, rows, keys, ledger }))
+    }
+
+    /// Another member leads from now on.
+    pub fn promote(&self, member: &str) {
+        self.0.change(|w| member.clone_into(&mut w.primary));
+    }
+
+    /// Whether this member leads.
+    pub fn leads(&self, member: &str) -> bool {
+        self.0.change(|w| w.primary == member)
+    }
+
+    /// Reads the ledger.
+    pub fn ledger<R>(&self, read: impl FnOnce(&mut Ledger) -> R) -> R {
+        self.0.change(|w| read(&mut w.ledger))
+    }
+
+    /// Waits until the ledger holds what `f` looks for.
+    pub fn wait_for<R>(&self, within: Duration, mut f: impl FnMut(&mut Ledger) -> Option<R>) -> Option<R> {
+        self.0.wait_for(within, |w| f(&mut w.ledger))
+    }
+
+    pub(crate) fn count(&self, member: &str, count: impl FnOnce(&mut Counts)) {
+        self.0.change(|w| match w.ledger.members.get_mut(member) {
+            Some(counts) => count(counts),
+            None => count(w.ledger.members.entry(member.to_owned()).or_default()),
+        });
+    }
+
+    /// How far a member has applied the log, in Unix milliseconds.
+    pub fn position(&self, member: &str) -> u64 {
+        let now = now_ms();
+        self.0.change(|w| if w.primary == member { now } else { now - w.lag.as_millis() as u64 })
+    }
+
+    /// Runs a statement in words at a member.
+    pub fn run(&self, member: &str, text: &str) -> Outcome {
+        let mut quoted = literals(text);
+        let Some(row) = quoted.next() else { return Err(("08P01", "no quoted key")) };
+        let comment = |name: &str| {
+            let inside = text.rsplit_once("/*")?.1.trim_end().trim_end_matches("*/");
+            inside.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('='))
+        };
+        if comment("id").is_none_or(|id| id.len() != 16) || comment("d").is_none_or(|d| d.parse() == Ok(0)) {
+            return Err(("08P01", "a statement that no client sends"));
+        }
+        let position = self.position(member);
+        self.0.change(|w| {
+            if !text.starts_with("INSERT") {
+                let after: u64 = comment("after").and_then(|a| a.parse().ok()).unwrap_or(0);
+                if after > position {
+                    return Err(("72000", "too far behind"));
+                }
+                let seen = w.rows.get(&row).filter(|(_, at)| *at <= position);
+                return Ok((seen.map_or_else(|| "(nothing)".to_owned(), |(v, _)| v.clone()), position));
+            }
+            let Some(value) = quoted.next() else { return Err(("08P01", "no value")) };
+            if w.primary != member {
+                return Err(("25006", "this is not the primary"));
+            }
+            let key = comment("k").unwrap_or_default().to_owned();
+            let (now, window) = (Instant::now(), w.window);
+            w.keys.retain(|_, (at, ..)| now - *at < window);
+            if let Some((_, value, at)) = w.keys.get(&key) {
+                w.ledger.repeats += 1;
+                return Ok((value.clone(), *at));
+            }
+            w.ledger.bookings.entry(key.clone()).or_default().push(member.to_owned());
+            w.rows.insert(row, (value.clone(), position));
+            w.keys.insert(key, (now, value.clone(), position));
+            Ok((value, position))
+        })
+    }
+}
+
+/// The quoted literals of a statement.
+fn literals(text: &str) -> impl Iterator<Item = String> {
+    let mut rest = text;
+    std::iter::from_fn(move || {
+        let mut inside = rest.split_once('\'')?.1;
+        let mut found = String::new();
+        loop {
+            let (part, behind) = inside.split_once('\'')?;
+            found.push_str(part);
+            match behind.strip_prefix('\'') {
+                Some(more) => {
+                    found.push('\'');
+                    inside = more;
+                }
+                None => {
+                    rest = behind;
+                    return Some(found);
+                }
+            }
+        }
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const WRITE: &str = "INSERT INTO facts (code, data) VALUES ('a''b', 'v') RETURNING data /* id=00000000000000a1,d=5,k=k1 */";
+
+    #[test]
+    fn a_repeat_is_dropped_within_the_window_and_counted_beyond_it() {
+        let group = Group::new("p", Duration::ZERO, Duration::from_secs(100));
+        assert_eq!(group.run("r", WRITE), Err(("25006", "this is not the primary")));
+        assert_eq!(group.run("p", WRITE).map(|o| o.0), Ok("v".to_owned()));
+        assert!(group.run("p", WRITE).is_ok());
+        assert_eq!(group.ledger(|l| (l.repeats, l.run_twice().len())), (1, 0));
+        let group = Group::new("p", Duration::ZERO, Duration::ZERO);
+        assert!(group.run("p", WRITE).is_ok() && group.run("p", WRITE).is_ok());
+        assert_eq!(group.ledger(|l| l.run_twice().len()), 1);
+        let read = WRITE
+            .replace("INSERT INTO facts (code, data) VALUES ('a''b', 'v') RETURNING data", "SELECT 'a''b'");
+        assert_eq!(group.run("r", &read).map(|o| o.0), Ok("v".to_owned()));
+    }
+}
--- /dev/null
+++ b/standin/src/instance.rs
@@ -0,0 +1,533 @@
+//! One instance on a socket.
+
+use crate::client::Reader;
+use crate::group::{Group, now_ms};
+use crate::watched::{LIMIT, Watched};
+use reelrill_pgwire::backend::{self, Column};
+use reelrill_pgwire::frontend::{self, Bind, Command, Object};
+use reelrill_pgwire::{Format, oid, put};
+use socket2::SockRef;
+use std::collections::{HashMap, VecDeque};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What an instance does with each request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    /// Serves it.
+    Serve,
+    /// Serves, then closes the connection.
+    ServeAndClose,
+    /// Serves a value of 64 KiB.
+    ServeLarge,
+    /// Gives an error of this code.
+    Code(&'static str),
+    /// Says nothing until the test changes the act.
+    Silence,
+    /// Closes after half a row.
+    Break,
+    /// Says half a row, and then nothing.
+    Stall,
+    /// Says just this, and keeps the connection open.
+    Raw(&'static [u8]),
+    /// Serves, with this directly behind.
+    ServeAnd(&'static [u8]),
+}
+
+/// How far a request has come when a fault hits it. A simple query has the last three: it is an Execute.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its Parse has been read.
+    Parse,
+    /// Its Bind has been read.
+    Bind,
+    /// Half of its Execute has been read: nothing has run.
+    HalfExecute,
+    /// Its Execute has run, and the Sync has not been read.
+    Executed,
+    /// All of it has been read and has run, and nothing has been answered.
+    Unanswered,
+}
+
+/// What hits a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The process dies: all its connections are reset, and new ones until it is revived.
+    Kill,
+    /// This connection is reset.
+    Reset,
+    /// This connection stays open and says nothing more.
+    Silence,
+    /// Noise, and nothing more.
+    Spoil,
+}
+
+/// What an instance has been asked.
+#[derive(Default, Debug)]
+pub struct Seen {
+    /// Requests in words; a prepared one with its values in place of its parameters.
+    pub queries: Vec<String>,
+    /// Connections so far.
+    pub connections: usize,
+    /// Connections that have ended.
+    pub ended: usize,
+}
+
+enum World {
+    /// Answers each request with the name that it goes by, in a role of its own.
+    Echo(&'static str),
+    Group(Group),
+}
+
+struct Inner {
+    name: String,
+    world: World,
+    /// The time that a request takes.
+    work: Duration,
+    /// Extended queries are not known.
+    simple_only: bool,
+    seen: Watched<Seen>,
+    act: Watched<Act>,
+    faults: Watched<VecDeque<(Stage, Fault)>>,
+    /// Open connections; none while it is dead.
+    open: Watched<Option<Vec<TcpStream>>>,
+    /// Statements prepared before this changed are forgotten.
+    memory: Watched<usize>,
+}
+
+/// An instance on a port of its own.
+#[derive(Clone)]
+pub struct Instance {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it has been asked.
+    pub seen: Watched<Seen>,
+    /// What it does with each request.
+    pub act: Watched<Act>,
+    /// What hits the next requests, each once, as soon as one comes to that stage.
+    pub faults: Watched<VecDeque<(Stage, Fault)>>,
+    inner: Arc<Inner>,
+}
+
+/// The name of the request that a statement names.
+pub fn id_of(query: &str) -> String {
+    query.split("id=").nth(1).map_or(String::new(), |t| t.chars().take(16).collect())
+}
+
+impl Instance {
+    /// Starts one that answers each request with its name.
+    pub fn start(role: &'static str, act: Act) -> Instance {
+        Instance::listen(([127, 0, 0, 1], 0).into(), role, World::Echo(role), act, Duration::ZERO, false)
+    }
+
+    /// The same, but extended queries are errors to it.
+    pub fn start_simple(role: &'static str) -> Instance {
+        let at = ([127, 0, 0, 1], 0).into();
+        Instance::listen(at, role, World::Echo(role), Act::Serve, Duration::ZERO, true)
+    }
+
+    /// Starts a member of a group; each request takes it `work`.
+    pub fn join(group: &Group, name: &str, at: SocketAddr, work: Duration, simple_only: bool) -> Instance {
+        Instance::listen(at, name, World::Group(group.clone()), Act::Serve, work, simple_only)
+    }
+
+    fn listen(
+        at: SocketAddr,
+        name: &str,
+        world: World,
+        act: Act,
+        work: Duration,
+        simple_only: bool,
+    ) -> Instance {
+        let listener = TcpListener::bind(at).expect("a port for an instance");
+        let address = listener.local_addr().expect("an address");
+        let (seen, act, faults) = (Watched::default(), Watched::new(act), Watched::default());
+        let inner = Arc::new(Inner {
+            name: name.to_owned(),
+            world,
+            work,
+            simple_only,
+            seen: Watched::clone(&seen),
+            act: act.clone(),
+            faults: Watched::clone(&faults),
+            open: Watched::new(Some(Vec::new())),
+            memory: Watched::new(0),
+        });
+        let i = inner.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let Ok(other) = stream.try_clone() else { continue };
+                let alive = i.open.change(|open| open.as_mut().map(|open| open.push(other)).is_some());
+                if !alive {
+                    reset(&stream);
+                    continue;
+                }
+                i.seen.change(|s| s.connections += 1);
+                let i = i.clone();
+                std::thread::spawn(move || {
+                    let _ = stream.set_nodelay(true);
+                    let address = stream.peer_addr();
+                    Connection::new(&i, stream).and_then(Connection::serve);
+                    let is_this = |s: &TcpStream| {
+                        s.peer_addr().ok().is_none_or(|a| Some(a) == address.as_ref().ok().copied())
+                    };
+                    i.open.change(|open| open.iter_mut().for_each(|open| open.retain(|s| !is_this(s))));
+                    i.seen.change(|s| s.ended += 1);
+                });
+            }
+        });
+        Instance { address, seen, act, faults, inner }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.inner.name
+    }
+
+    /// Its process dies.
+    pub fn kill(&self) {
+        self.inner.kill();
+    }
+
+    /// It accepts connections again; it has nothing prepared.
+    pub fn revive(&self) {
+        self.inner.open.change(|open| *open = Some(Vec::new()));
+    }
+
+    /// Waits until it is dead.
+    pub fn died(&self) -> bool {
+        self.inner.open.wait_for(LIMIT, |open| open.is_none().then_some(())).is_some()
+    }
+
+    /// Forgets all prepared statements, on connections that stay open.
+    pub fn forget(&self) {
+        self.inner.memory.change(|m| *m += 1);
+    }
+
+    /// Its line in the list of instances.
+    pub fn target(&self, group: u32, state: &str) -> serde_json::Value {
+        let mut target = crate::discovery::target(&self.inner.name, self.address, state);
+        target["pod_group"] = group.into();
+        target
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+impl Inner {
+    fn kill(&self) {
+        for stream in self.open.change(Option::take).unwrap_or_default() {
+            reset(&stream);
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    fn fault(&self, at: Stage) -> Option<Fault> {
+        self.faults.change(|f| {
+            let hit = f.front().is_some_and(|(stage, _)| *stage == at);
+            if hit { f.pop_front().map(|(_, fault)| fault) } else { None }
+        })
+    }
+
+    fn group(&self) -> Option<&Group> {
+        if let World::Group(group) = &self.world { Some(group) } else { None }
+    }
+}
+
+struct Portal {
+    text: String,
+    format: Format,
+    has_run: bool,
+}
+
+struct Connection<'a> {
+    inner: &'a Inner,
+    reader: Reader,
+    stream: TcpStream,
+    out: Vec<u8>,
+    statements: HashMap<String, (String, Vec<u32>)>,
+    portals: HashMap<String, Portal>,
+    is_skipping: bool,
+    memory: usize,
+}
+
+impl<'a> Connection<'a> {
+    fn new(inner: &'a Inner, stream: TcpStream) -> Option<Connection<'a>> {
+        Some(Connection {
+            inner,
+            reader: Reader::new(stream.try_clone().ok()?),
+            stream,
+            out: Vec::new(),
+            statements: HashMap::new(),
+            portals: HashMap::new(),
+            is_skipping: false,
+            memory: inner.memory.change(|m| *m),
+        })
+    }
+
+    fn serve(mut self) -> Option<()> {
+        self.reader.next(frontend::startup)?;
+        put(&mut self.out, b'R', &[&[0; 4]]);
+        backend::put_ready(&mut self.out);
+        self.flush()?;
+        loop {
+            let (tag, body) = self.reader.message()?;
+            let Ok(command) = frontend::read(tag, &body) else { return None };
+            match command {
+                Command::Terminate => return None,
+                Command::Query(text) => self.on_query(text)?,
+                Command::Sync => {
+                    if !self.is_skipping {
+                        self.at(Stage::Unanswered)?;
+                    }
+                    self.is_skipping = false;
+                    self.portals.clear();
+                    self.status();
+                    self.flush()?;
+                }
+                Command::Flush => self.flush()?,
+                _ if self.is_skipping => {}
+                _ if self.inner.simple_only => self.error("08P01", "extended queries are not known here"),
+                command => self.on_extended(command)?,
+            }
+        }
+    }
+
+    fn flush(&mut self) -> Option<()> {
+        self.stream.write_all(&std::mem::take(&mut self.out)).ok()
+    }
+
+    fn count(&self, count: impl FnOnce(&mut crate::group::Counts)) {
+        if let Some(group) = self.inner.group() {
+            group.count(&self.inner.name, count);
+        }
+    }
+
+    fn error(&mut self, code: &str, text: &str) {
+        backend::put_error(&mut self.out, false, code, text, None);
+        self.is_skipping = true;
+    }
+
+    /// A fault may hit here. None: the connection is over.
+    fn at(&mut self, stage: Stage) -> Option<()> {
+        match self.inner.fault(stage) {
+            None => return Some(()),
+            Some(Fault::Kill) => self.inner.kill(),
+            Some(Fault::Reset) => reset(&self.stream),
+            Some(Fault::Silence) => while self.reader.message().is_some() {},
+            Some(Fault::Spoil) => {
+                let _ = self.stream.write_all(b"noise without end");
+                while self.reader.message().is_some() {}
+            }
+        }
+        None
+    }
+
+    fn status(&mut self) {
+        let (role, position) = match &self.inner.world {
+            World::Echo(role) => (*role, now_ms()),
+            World::Group(g) => {
+                let role = if g.leads(&self.inner.name) { "master" } else { "replica" };
+                (role, g.position(&self.inner.name))
+            }
+        };
+        backend::put_parameter(&mut self.out, "part", role);
+        backend::put_parameter(&mut self.out, "caught_up_to", &position.to_string());
+        let gauges =
+            format!("x0={},x1={},inflight=0,util=0.1", position as f64 / 1e3, u8::from(role == "master"));
+        backend::put_parameter(&mut self.out, "gauges", &gauges);
+        backend::put_ready(&mut self.out);
+    }
+
+    /// Runs a request in words: a value, or an error's code and text.
+    fn run(&self, text: &str) -> Result<String, (&'static str, &'static str)> {
+        std::thread::sleep(self.inner.work);
+        self.inner.seen.change(|s| s.queries.push(text.to_owned()));
+        match &self.inner.world {
+            World::Echo(_) => Ok(id_of(text)),
+            World::Group(group) => group.run(&self.inner.name, text).map(|(value, _)| value),
+        }
+    }
+
+    fn act(&self) -> Option<Act> {
+        self.inner.act.wait_for(LIMIT, |a| (*a != Act::Silence).then_some(*a))
+    }
+
+    /// Puts a value and the end of its command.
+    fn put_served(&mut self, value: &str, format: Format, tag: &str) {
+        match value.strip_prefix("\\x").filter(|_| format == Format::Binary) {
+            Some(digits) => {
+                let byte =
+                    |i: usize| u8::from_str_radix(digits.get(i..i + 2).unwrap_or("0"), 16).unwrap_or(0);
+                let bytes: Vec<u8> = (0..digits.len()).step_by(2).map(byte).collect();
+                backend::put_value(&mut self.out, &bytes);
+            }
+            None => backend::put_value(&mut self.out, value.as_bytes()),
+        }
+        backend::put_complete(&mut self.out, tag);
+    }
+
+    /// What comes in place of an answer, if anything does. None: the connection is over.
+    fn spoil(&mut self, act: Act) -> Option<bool> {
+        match act {
+            Act::Raw(bytes) => {
+                self.stream.write_all(bytes).ok()?;
+                Some(true)
+            }
+            Act::Break | Act::Stall => {
+                let mut row = Vec::new();
+                backend::put_value(&mut row, b"half of it");
+                self.out.extend_from_slice(&row[..10]);
+                self.flush()?;
+                (act == Act::Stall).then_some(true)
+            }
+            _ => Some(false),
+        }
+    }
+
+    fn on_query(&mut self, text: &str) -> Option<()> {
+        self.count(|c| c.queries += 1);
+        self.at(Stage::HalfExecute)?;
+        let ran = self.run(text);
+        self.at(Stage::Executed)?;
+        self.at(Stage::Unanswered)?;
+        let act = self.act()?;
+        if let Act::Code(code) = act {
+            backend::put_error(&mut self.out, false, code, "no", None);
+        } else if matches!(act, Act::Raw(_)) {
+            self.spoil(act)?;
+            return Some(());
+        } else {
+            match ran {
+                Ok(mut value) => {
+                    if act == Act::ServeLarge {
+                        value = value.repeat(4096);
+                    }
+                    let oid = if self.inner.group().is_some() { oid::TEXT } else { oid::UNKNOWN };
+                    backend::put_column(&mut self.out, &Column::new("data", oid, Format::Text));
+                    if self.spoil(act)? {
+                        return Some(());
+                    }
+                    let tag = if text.starts_with("INSERT") { "INSERT 0 1" } else { "SELECT 1" };
+                    self.put_served(&value, Format::Text, tag);
+                }
+                Err((code, text)) => backend::put_error(&mut self.out, false, code, text, None),
+            }
+        }
+        self.status();
+        if let Act::ServeAnd(extra) = act {
+            self.out.extend_from_slice(extra);
+        }
+        self.flush()?;
+        (act != Act::ServeAndClose).then_some(())
+    }
+
+    fn on_extended(&mut self, command: Command) -> Option<()> {
+        let memory = self.inner.memory.change(|m| *m);
+        if std::mem::replace(&mut self.memory, memory) != memory {
+            self.statements.clear();
+        }
+        match command {
+            Command::Parse { name, text, types } => {
+                self.count(|c| c.parses += 1);
+                self.at(Stage::Parse)?;
+                if !name.is_empty() && self.statements.contains_key(name) {
+                    self.error("42P05", "the statement exists");
+                    return Some(());
+                }
+                self.statements.insert(name.to_owned(), (text.to_owned(), types));
+                put(&mut self.out, b'1', &[]);
+            }
+            Command::Bind(bind) => {
+                self.count(|c| c.binds += 1);
+                self.at(Stage::Bind)?;
+                let Some((text, types)) = self.statements.get(bind.statement) else {
+                    self.error("26000", "no such statement");
+                    return Some(());
+                };
+                let Some(text) = in_words(text, types, &bind) else {
+                    self.error("08P01", "parameters that do not fit");
+                    return Some(());
+                };
+                let portal = Portal { text, format: bind.result(0), has_run: false };
+                self.portals.insert(bind.portal.to_owned(), portal);
+                put(&mut self.out, b'2', &[]);
+            }
+            Command::Execute { portal, .. } => {
+                self.count(|c| c.executes += 1);
+                self.at(Stage::HalfExecute)?;
+                let Some(p) = self.portals.get_mut(portal).filter(|p| !p.has_run) else {
+                    self.error("34000", "no such portal");
+                    return Some(());
+                };
+                p.has_run = true;
+                let (text, format) = (p.text.clone(), p.format);
+                let ran = self.run(&text);
+                self.at(Stage::Executed)?;
+                match (self.act()?, ran) {
+                    (Act::Code(code), _) => self.error(code, "no"),
+                    (_, Err((code, text))) => self.error(code, text),
+                    (act, Ok(value)) => {
+                        if self.spoil(act)? {
+                            return Some(());
+                        }
+                        let tag = if text.starts_with("INSERT") { "INSERT 0 1" } else { "SELECT 1" };
+                        self.put_served(&value, format, tag);
+                    }
+                }
+            }
+            Command::Close(object, name) => {
+                self.count(|c| c.closes += 1);
+                match object {
+                    Object::Statement => drop(self.statements.remove(name)),
+                    Object::Portal => drop(self.portals.remove(name)),
+                }
+                put(&mut self.out, b'3', &[]);
+            }
+            _ => self.error("0A000", "not spoken here"),
+        }
+        Some(())
+    }
+}
+
+/// A prepared statement with its values in place of its parameters, as its simple query would be. None: the values
+/// do not fit.
+fn in_words(text: &str, types: &[u32], bind: &Bind) -> Option<String> {
+    if bind.values.len() != types.len() {
+        return None;
+    }
+    let mut out = String::new();
+    let mut rest = text;
+    while let Some((before, behind)) = rest.split_once('$') {
+        out.push_str(before);
+        let end = behind.find(|c: char| !c.is_ascii_digit()).unwrap_or(behind.len());
+        let index = behind[..end].parse::<usize>().ok()?.checked_sub(1)?;
+        rest = &behind[end..];
+        // What is in the comment stands there bare, all else in quotes.
+        let is_literal = !out.contains("/*");
+        let value = bind.values.get(index)?.unwrap_or(b"0");
+        let binary = bind.format(index) == Format::Binary;
+        let word = match types[index] {
+            oid::BYTEA if binary => {
+                "\\x".to_owned() + &value.iter().map(|b| format!("{b:02x}")).collect::<String>()
+            }
+            oid::INT2 if binary => i16::from_be_bytes(value.try_into().ok()?).to_string(),
+            oid::INT4 if binary => i32::from_be_bytes(value.try_into().ok()?).to_string(),
+            oid::INT8 if binary && out.ends_with("id=") => {
+                format!("{:016x}", u64::from_be_bytes(value.try_into().ok()?))
+            }
+            oid::INT8 if binary => i64::from_be_bytes(value.try_into().ok()?).to_string(),
+            _ => std::str::from_utf8(value).ok()?.to_owned(),
+        };
+        if is_literal {
+            out.push_str(&format!("'{}'", word.replace('\'', "''")));
+        } else {
+            out.push_str(&word);
+        }
+    }
+    Some(out + rest)
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,29 @@
+//! Stand-ins on loopback for what the router meets, with faults by script and a ledger of all that ran. Tests, the
+//! example and the lab use them. They are servers of threads that block: plain, and independent of the router's
+//! own ways of doing things but for the codec.
+//!
+//! | module | what it holds |
+//! | --- | --- |
+//! | [`group`] | a group of instances: who leads, what was written, which keys are remembered, and the ledger |
+//! | [`instance`] | one instance on a socket: simple and extended queries, acts, and faults at named stages |
+//! | [`discovery`] | the list of instances over HTTP |
+//! | [`process`] | the router as a process, with its configuration, log and signals |
+//! | [`client`] | a client that writes and reads whole messages |
+//! | [`watched`] | values that threads change and others wait on |
+//!
+//! A stand-in panics where its own set-up fails (no port, no folder): a test has nothing to go on with then.
+#![forbid(unsafe_code)]
+
+pub mod client;
+pub mod discovery;
+pub mod group;
+pub mod instance;
+pub mod process;
+pub mod watched;
+
+pub use client::{Answer, Client};
+pub use discovery::{Discovery, Manner, target};
+pub use group::{Group, Ledger};
+pub use instance::{Act, Fault, Instance, Seen, Stage, id_of};
+pub use process::{Router, settings};
+pub use watched::{LIMIT, Watched};
--- a/statements/src/plan.rs
+++ b/statements/src/plan.rs
@@ -76,6 +76,8 @@
     pub admitted: Rc<Admitted>,
     /// What instances are asked.
     pub ask: Rc<Ask>,
+    /// The format that the client wants its value in.
+    pub result: Format,
 }
 
 /// A name of a statement, and its share of the bound.
@@ -108,7 +110,7 @@
 
 enum Item<A> {
     Said(Output<A>),
-    Part { state: State<A>, ask: Rc<Ask>, admitted: Rc<Admitted>, suspended: bool },
+    Part { state: State<A>, ask: Rc<Ask>, admitted: Rc<Admitted>, result: Format, suspended: bool },
 }
 
 /// One client's names and pipeline; `A` is whatever its host takes for a final answer.
@@ -316,7 +318,7 @@
                 Item::Said(Output::Complete(utility.tag()))
             }
             (Runs::Request { ask, admitted }, None) => {
-                Item::Part { state: State::Waiting, ask, admitted, suspended }
+                Item::Part { state: State::Waiting, ask, admitted, result: portal.result, suspended }
             }
             (Runs::Request { admitted, .. }, Some(true)) if admitted.is_write => {
                 Item::Said(Output::Complete("INSERT 0 1"))
@@ -369,7 +371,7 @@
     pub fn start(&mut self) -> Option<Start> {
         let mut ahead = 0;
         for (part, item) in &mut self.items {
-            let Item::Part { state, ask, admitted, .. } = item else { continue };
+            let Item::Part { state, ask, admitted, result, .. } = item else { continue };
             match state {
                 State::Done(_) => {}
                 State::Running if admitted.is_write => return None,
@@ -379,7 +381,8 @@
                 State::Waiting => {
                     *state = State::Running;
                     self.running += 1;
-                    return Some(Start { part: *part, admitted: admitted.clone(), ask: ask.clone() });
+                    let (admitted, ask) = (admitted.clone(), ask.clone());
+                    return Some(Start { part: *part, admitted, ask, result: *result });
                 }
             }
         }
