--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -7,7 +7,7 @@
 use crate::edge::Mode;
 use crate::exchange::{Answer, Incoming, Message, Reply, ReplyTo};
 use crate::log::CloseReason;
-use crate::shared::{Cancel, Fresh, Holder, Shared, Slot};
+use crate::shared::{Cancel, Holder, Shared, Slot, Tally};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt as _;
@@ -53,7 +53,7 @@
                 break slot;
             }
             // Make room: a connection of no use goes, or the one idle longest; else one has to end by itself.
-            shared.clients.want();
+            shared.clients.need();
             let pause = async {
                 Timer::after(Duration::from_millis(20)).await;
             };
@@ -101,7 +101,7 @@
     buffer: Buffer,
     accepted: Time,
     /// No command has come yet.
-    fresh: Option<Fresh>,
+    fresh: Option<Tally>,
     /// When a part of a message came whose rest has not.
     begun: Option<Time>,
     /// Extended commands are passed over up to the Sync that ends them.
@@ -236,6 +236,7 @@
             (false, true) => (resting, now, None),
             (false, false) => (Holder::Useless, *self.begun.get_or_insert(now), Some(CloseReason::Stalled)),
         };
+        let _resting = (holder == Holder::Idle).then(|| shared.clients.resting());
         let since = shared.clock.instant(since);
         let late = async {
             match limit {
--- a/router/src/client/pipeline.rs
+++ b/router/src/client/pipeline.rs
@@ -107,7 +107,7 @@
     async fn flow(&mut self) -> Result<(), CloseReason> {
         let mut out = Vec::new();
         loop {
-            let is_blocked = self.feed();
+            self.feed();
             self.take_replies().await;
             self.start_parts().await;
             self.speak(&mut out);
@@ -121,8 +121,11 @@
             if pipeline.plan.is_idle() {
                 return Ok(());
             }
+            if matches!(frame::command(self.buffer.bytes(), true), Ok(Some((b'X', ..)))) {
+                return Err(CloseReason::LeftWaiting);
+            }
             // What is pipelined stays in the buffer, which must not grow without an end.
-            let is_full = is_blocked || self.buffer.bytes().len() >= AHEAD;
+            let is_full = self.buffer.bytes().len() >= AHEAD;
             let reply = async {
                 match pipeline.answers.recv().await {
                     Ok((part, reply)) => Woken::Reply(part, reply),
@@ -156,31 +159,26 @@
         }
     }
 
-    /// Gives the plan the whole commands at the head of the buffer. Says whether it has to wait with what follows:
-    /// the plan is full, or it is for the time after the pipeline.
-    fn feed(&mut self) -> bool {
-        let Some(pipeline) = &mut self.pipeline else { return true };
+    /// Gives the plan the whole commands at the head of the buffer, until it is full or something comes that is for
+    /// the time after the pipeline.
+    fn feed(&mut self) {
+        let Some(pipeline) = &mut self.pipeline else { return };
         let mut any = false;
-        let is_blocked = loop {
-            if pipeline.plan.is_full() {
-                break true;
-            }
+        while !pipeline.plan.is_full() {
             let (command, len) = match frame::command(self.buffer.bytes(), true) {
                 Ok(Some((tag, body, len))) => match frontend::read(tag, body) {
-                    Ok(Command::Terminate | Command::Query(_)) | Err(_) => break true,
+                    Ok(Command::Terminate | Command::Query(_)) | Err(_) => break,
                     Ok(command) => (command, len),
                 },
-                Ok(None) => break false,
-                Err(_) => break true,
+                Ok(None) | Err(_) => break,
             };
             pipeline.plan.command(&command, rand::random());
             self.buffer.consume(len);
             any = true;
-        };
+        }
         if any {
             self.shared.last_arrival.set(self.shared.clock.now());
         }
-        is_blocked
     }
 
     async fn take_replies(&mut self) {
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -255,7 +255,7 @@
             }
         }
         while self.dialling < self.waiting.len() {
-            let Some(slot) = self.shared.upstream.take() else { return self.shared.upstream.want() };
+            let Some(slot) = self.shared.upstream.take() else { return self.shared.upstream.need() };
             self.dialling += 1;
             let (member, endpoint) = (self.member.clone(), self.told.endpoint.get());
             let (dial, news) = (Link::dial(self.shared.clone(), member, endpoint, slot), self.news.clone());
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -51,16 +51,29 @@
     stateful: Event,
     /// Holders of which nothing is known yet.
     fresh: Cell<usize>,
+    /// Holders between requests that would lose nothing, also those too young to go.
+    resting: Cell<usize>,
 }
 
 pub struct Slot(Rc<Slots>);
 
-/// Counts a holder as fresh until dropped.
-pub struct Fresh(Rc<Slots>);
+/// Counts a holder as one of a kind until dropped.
+pub struct Tally {
+    slots: Rc<Slots>,
+    kind: fn(&Slots) -> &Cell<usize>,
+}
 
-impl Drop for Fresh {
+impl Tally {
+    fn new(slots: &Rc<Slots>, kind: fn(&Slots) -> &Cell<usize>) -> Tally {
+        kind(slots).set(kind(slots).get() + 1);
+        Tally { slots: slots.clone(), kind }
+    }
+}
+
+impl Drop for Tally {
     fn drop(&mut self) {
-        self.0.fresh.set(self.0.fresh.get().saturating_sub(1));
+        let count = (self.kind)(&self.slots);
+        count.set(count.get().saturating_sub(1));
     }
 }
 
@@ -79,7 +92,16 @@
     fn new(most: usize) -> Rc<Slots> {
         let event = Event::new;
         let (freed, useless, idle, stateful) = (event(), event(), event(), event());
-        Rc::new(Slots { used: Cell::new(0), most, freed, useless, idle, stateful, fresh: Cell::new(0) })
+        Rc::new(Slots {
+            used: Cell::new(0),
+            most,
+            freed,
+            useless,
+            idle,
+            stateful,
+            fresh: Cell::new(0),
+            resting: Cell::new(0),
+        })
     }
 
     pub fn take(self: &Rc<Self>) -> Option<Slot> {
@@ -104,18 +126,27 @@
         self.freed.total_listeners() > 0
     }
 
-    pub fn fresh(self: &Rc<Self>) -> Fresh {
-        self.fresh.set(self.fresh.get() + 1);
-        Fresh(self.clone())
+    pub fn fresh(self: &Rc<Self>) -> Tally {
+        Tally::new(self, |s| &s.fresh)
+    }
+
+    pub fn resting(self: &Rc<Self>) -> Tally {
+        Tally::new(self, |s| &s.resting)
     }
 
     /// Asks the holder that has listened longest to give its slot up, the useless ones first. Where many are
-    /// fresh, those that will turn out useless are waited for: the idle ones are in use.
-    pub fn want(&self) {
-        if self.useless.notify(1.additional()) == 0
-            && self.fresh.get() * 4 <= self.used.get()
-            && self.idle.notify(1.additional()) == 0
-        {
+    /// fresh, those that will turn out useless are waited for: the idle ones are in use. Says whether somebody was
+    /// asked, or will be soon.
+    pub fn want(&self) -> bool {
+        self.useless.notify(1.additional()) > 0
+            || self.fresh.get() * 4 > self.used.get()
+            || self.idle.notify(1.additional()) > 0
+            || self.resting.get() > 0
+    }
+
+    /// The same where there is no slot left: the holders that lose something go, if there is no other.
+    pub fn need(&self) {
+        if !self.want() {
             self.stateful.notify(1.additional());
         }
     }
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use reelrill_standin::client::startup;
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
--- a/statements/src/bound.rs
+++ b/statements/src/bound.rs
@@ -324,10 +324,38 @@
         }
         return Some(Cow::Owned(text.into_bytes()));
     }
-    let digits = value.strip_prefix(b"\\x")?;
+    let Some(digits) = value.strip_prefix(b"\\x") else { return unescape(value) };
     let digit = |d: u8| char::from(d).to_digit(16).map(|d| d as u8);
     let (pairs, []) = digits.as_chunks::<2>() else { return None };
-    pairs.iter().map(|[a, b]| Some(digit(*a)? << 4 | digit(*b)?)).collect::<Option<Vec<u8>>>().map(Cow::Owned)
+    pairs
+        .iter()
+        .map(|[a, b]| Some((digit(*a)? << 4) | digit(*b)?))
+        .collect::<Option<Vec<u8>>>()
+        .map(Cow::Owned)
+}
+
+/// Bytes in the older text form: as they are, but for `\\` and `\ooo`.
+fn unescape(value: &[u8]) -> Option<Cow<'_, [u8]>> {
+    if !value.contains(&b'\\') {
+        return Some(Cow::Borrowed(value));
+    }
+    let (mut out, mut rest) = (Vec::with_capacity(value.len()), value);
+    while let Some((&byte, behind)) = rest.split_first() {
+        rest = behind;
+        out.push(match (byte, behind) {
+            (b'\\', [b'\\', more @ ..]) => {
+                rest = more;
+                b'\\'
+            }
+            (b'\\', [a @ b'0'..=b'3', b @ b'0'..=b'7', c @ b'0'..=b'7', more @ ..]) => {
+                rest = more;
+                ((a - b'0') << 6) | ((b - b'0') << 3) | (c - b'0')
+            }
+            (b'\\', _) => return None,
+            (plain, _) => plain,
+        });
+    }
+    Some(Cow::Owned(out))
 }
 
 #[cfg(test)]
@@ -441,6 +469,9 @@
         assert_eq!(turn(b"\\x9F03", Format::Text, Format::Binary), Some(vec![0x9f, 3]));
         assert_eq!(turn(&[0x9f, 3], Format::Binary, Format::Text), Some(b"\\x9f03".to_vec()));
         assert_eq!(turn(b"\\x9", Format::Text, Format::Binary), None);
+        assert_eq!(turn(b"lane 3", Format::Text, Format::Binary), Some(b"lane 3".to_vec()));
+        assert_eq!(turn(b"a\\\\\\237", Format::Text, Format::Binary), Some(vec![b'a', b'\\', 0x9f]));
+        assert_eq!(turn(b"a\\9", Format::Text, Format::Binary), None);
         assert_eq!(convert(b"a", oid::TEXT, Format::Text, Format::Binary), Some(Cow::Borrowed(&b"a"[..])));
     }
 
