--- a/router/src/client/pipeline.rs
+++ b/router/src/client/pipeline.rs
@@ -105,20 +105,23 @@
     }
 
     async fn flow(&mut self) -> Result<(), CloseReason> {
-        let mut out = Vec::new();
+        let (mut out, mut is_due) = (Vec::new(), false);
         loop {
             self.feed();
             self.take_replies().await;
             self.start_parts().await;
-            self.speak(&mut out);
-            if !out.is_empty() {
+            // One write for what belongs together: a BindComplete goes with the answer behind it.
+            is_due |= self.speak(&mut out);
+            let is_idle = self.pipeline.as_ref().is_none_or(|p| p.plan.is_idle());
+            if !out.is_empty() && (is_due || is_idle || out.len() >= PIECE) {
                 self.write(&out).await?;
                 out.clear();
-                // What came meanwhile may end in time for the same look.
+                is_due = false;
+                // What came meanwhile is looked at before the next wait.
                 continue;
             }
             let Some(pipeline) = &mut self.pipeline else { return Ok(()) };
-            if pipeline.plan.is_idle() {
+            if is_idle {
                 return Ok(());
             }
             if matches!(frame::command(self.buffer.bytes(), true), Ok(Some((b'X', ..)))) {
@@ -224,9 +227,11 @@
         }
     }
 
-    /// Puts what can be said already, up to a piece of it.
-    fn speak(&mut self, out: &mut Vec<u8>) {
-        let Some(pipeline) = &mut self.pipeline else { return };
+    /// Puts what can be said already, up to a piece of it. Says whether the client waits for it: it ends with a
+    /// Sync or a Flush, or there was an error.
+    fn speak(&mut self, out: &mut Vec<u8>) -> bool {
+        let Some(pipeline) = &mut self.pipeline else { return false };
+        let mut is_due = false;
         while out.len() < PIECE
             && let Some(output) = pipeline.plan.output()
         {
@@ -249,13 +254,22 @@
                         backend::put_complete(out, &answer.tag);
                     }
                 }
-                Output::Answer { answer, .. } => put_failure(out, &answer),
+                Output::Answer { answer, .. } => {
+                    put_failure(out, &answer);
+                    is_due = true;
+                }
                 Output::Wrong(wrong) => {
                     count(&self.shared.counters.rejected);
                     backend::put_error(out, false, wrong.code(), &wrong.to_string(), None);
+                    is_due = true;
+                }
+                Output::Flush => is_due = true,
+                Output::Ready => {
+                    backend::put_ready(out);
+                    is_due = true;
                 }
-                Output::Ready => backend::put_ready(out),
             }
         }
+        is_due
     }
 }
--- a/statements/src/bound.rs
+++ b/statements/src/bound.rs
@@ -28,6 +28,8 @@
 pub struct Simple {
     text: Vec<u8>,
     wait_digits: Range<usize>,
+    /// Of the bound on values, where the text was made of them.
+    _share: Option<Share>,
 }
 
 /// The time that the router will wait, in whole milliseconds, as instances are told it.
@@ -38,7 +40,7 @@
 impl Simple {
     /// `wait_digits` is where the waiting time, in milliseconds, stands in `text`.
     pub fn new(text: Vec<u8>, wait_digits: Range<usize>) -> Simple {
-        Simple { text, wait_digits }
+        Simple { text, wait_digits, _share: None }
     }
 
     /// The text with the time that the router will wait.
@@ -247,7 +249,7 @@
     }
 
     /// The same as a simple query: values become literals where that can be done without doubt, else it is refused.
-    pub fn literally(&self) -> Result<Simple, Wrong> {
+    pub fn literally(&self, accounts: &Accounts) -> Result<Simple, Wrong> {
         let Some(r) = self.request() else { return Err(Wrong::Value("statement")) };
         let (mut out, mut from, mut digits) = (String::with_capacity(r.text.len() + 64), 0, 0..0);
         for (range, place, index) in &r.marks {
@@ -267,7 +269,10 @@
             }
         }
         out.push_str(&r.text[from..]);
-        Ok(Simple::new(out.into_bytes(), digits))
+        let text = out.into_bytes();
+        let most = accounts.values.most();
+        let share = accounts.values.take(text.len()).ok_or(Wrong::Limit { what: "bytes of values", most })?;
+        Ok(Simple { text, wait_digits: digits, _share: Some(share) })
     }
 
     /// A quoted literal. Instances may read a backslash in one way or another, so there must be none but the one
@@ -381,7 +386,11 @@
         let template = Templates::new(1 << 20, oid::BYTEA).get(text, types)?;
         let (formats, values) = (formats.to_vec(), values.to_vec());
         let bind = Bind { portal: "", statement: "", formats, values, results: vec![Format::Binary] };
-        Bound::new(&template, &bind, 0xabc, &Accounts::new(&Limits::default()))
+        Bound::new(&template, &bind, 0xabc, &accounts())
+    }
+
+    fn accounts() -> Accounts {
+        Accounts::new(&Limits::default())
     }
 
     const BINARY: [Format; 1] = [Format::Binary];
@@ -411,7 +420,7 @@
         assert_eq!((admit(&one).id, admit(&one).group, admit(&one).wait), (Some(id), 2, 480_000_000));
         assert_eq!(sent(&one, 77_900_000)[3], Some(b"77".to_vec()));
         assert_eq!(sent(&other, 77_900_000)[3], Some(77i64.to_be_bytes().to_vec()));
-        let (one, other) = (one.literally().unwrap(), other.literally().unwrap());
+        let (one, other) = (one.literally(&accounts()).unwrap(), other.literally(&accounts()).unwrap());
         assert_eq!(one.with_wait(5_000_000), other.with_wait(5_000_000));
         assert_eq!(
             String::from_utf8(one.with_wait(5_000_000)).unwrap(),
@@ -460,7 +469,7 @@
         #[case] at: Option<&'static str>,
     ) {
         let b = bound(WRITE, &[], &[], &[Some(code), Some(b"v"), None, None, Some(b"2"), Some(k)]).unwrap();
-        assert_eq!(b.literally().err(), at.map(Wrong::Literal));
+        assert_eq!(b.literally(&accounts()).err(), at.map(Wrong::Literal));
     }
 
     #[test]
@@ -489,7 +498,7 @@
         fn a_literal_is_read_back_as_it_was(code in "\\PC{0,20}", data in "[ -~]{0,20}", k in "\\PC{0,10}") {
             let values = [Some(code.as_bytes()), Some(data.as_bytes()), None, None, Some(&b"2"[..]), Some(k.as_bytes())];
             let b = bound(WRITE, &[], &[], &values).unwrap();
-            if let Ok(simple) = b.literally() {
+            if let Ok(simple) = b.literally(&accounts()) {
                 let text = String::from_utf8(simple.with_wait(9_000_000)).unwrap();
                 let (named, _) = Named::simple(&text).unwrap();
                 prop_assert_eq!(named.key.replace("''", "'"), code);
--- a/statements/src/plan.rs
+++ b/statements/src/plan.rs
@@ -63,6 +63,8 @@
     },
     /// An error: all that follows is skipped up to the Sync.
     Wrong(Wrong),
+    /// What has been said so far is to reach the client now.
+    Flush,
     /// ReadyForQuery.
     Ready,
 }
@@ -243,8 +245,8 @@
                 self.portals.remove(*name);
                 Output::Closed
             }
-            // What there is to say is said as soon as it can be, Flush or not.
-            Command::Flush | Command::Sync | Command::Terminate | Command::Query(_) => return Ok(()),
+            Command::Flush => Output::Flush,
+            Command::Sync | Command::Terminate | Command::Query(_) => return Ok(()),
         };
         self.push(Item::Said(said));
         Ok(())
@@ -292,8 +294,11 @@
         let runs = match &held.template.kind {
             Kind::Request(_) => {
                 let admitted = Rc::new(bound.named(|named| self.common.catalog.admit(named))?);
-                let ask =
-                    if self.common.translate { Ask::Simple(bound.literally()?) } else { Ask::Bound(bound) };
+                let ask = if self.common.translate {
+                    Ask::Simple(bound.literally(&self.common.accounts)?)
+                } else {
+                    Ask::Bound(bound)
+                };
                 Runs::Request { ask: Rc::new(ask), admitted }
             }
             Kind::Utility(_) => Runs::Utility(held.template.clone()),
--- a/statements/tests/plan.rs
+++ b/statements/tests/plan.rs
@@ -327,3 +327,32 @@
     drop(plans);
     assert_eq!((common.accounts.statements.used(), common.templates.used()), (0, (0, 0)));
 }
+
+/// Guards the memory of bound values, whether they are kept as values or as literals; a Sync gives it back.
+#[rstest]
+fn bound_values_are_bounded(#[values(false, true)] translate: bool) {
+    let limits = Limits { value_bytes: 1000, ..Limits::default() };
+    let mut common = Rc::try_unwrap(common(limits)).unwrap();
+    common.translate = translate;
+    let common = Rc::new(common);
+    let mut plan: Plan<bool> = Plan::new(common.clone());
+    for round in 0..2 {
+        give(&mut plan, &Op::Parse("", false), 1);
+        let names: Vec<String> = (0..20).map(|n| format!("p{n}")).collect();
+        for portal in &names {
+            let (formats, values) = (Vec::new(), vec![Some(&[b'k'; 100][..])]);
+            let bind = Bind { portal, statement: "", formats, values, results: Vec::new() };
+            plan.command(&Command::Bind(bind), 1);
+        }
+        assert!(common.accounts.values.used() <= 1000);
+        give(&mut plan, &Op::Sync, 1);
+        let mut said = Vec::new();
+        while let Some(output) = plan.output() {
+            said.push(output);
+        }
+        let wanted = Wrong::Limit { what: "bytes of values", most: 1000 };
+        assert_eq!(said[said.len() - 2], Output::Wrong(wanted), "round {round}");
+        assert!(said.len() > 4 && said.len() < 14, "{said:?}");
+        assert_eq!(common.accounts.values.used(), 0);
+    }
+}
