Merge what several sources say of the members, and look for timers on a wheel

Need: members are to be found from service records as well as from the roster; today one list is believed as it comes.

Change: membership/ holds every source's claims and makes the one list of them, as changes: a drain binds until newer word lifts it, absence in one source is not gone while another or the member itself vouches, silence takes nothing away, one member an endpoint, tiers. Expiry lies on a hierarchical timer wheel of its own. The router does not use it yet.

--- /dev/null
+++ b/membership/src/lib.rs
@@ -0,0 +1,23 @@
+//! What several sources say of the members, and the one list that comes of it. No I/O: words of the sources, the
+//! members' own answers and the time come in as arguments, changes of the list come out.
+//!
+//! ```
+//! use reelrill_membership::{Claim, Input, Kind, Members, Settings, Word};
+//! let mut members = Members::new(Settings::default(), 0);
+//! members.handle(0, Input::Source { source: 0, kind: Kind::Roster }, &mut Vec::new());
+//! let claim = Claim::new("s-1", "127.0.0.1:7001".parse().unwrap(), 1);
+//! let mut changes = Vec::new();
+//! members.handle(0, Input::Told { source: 0, name: "s-1".into(), claim }, &mut changes);
+//! assert_eq!(changes[0].member(), "s-1");
+//! ```
+//!
+//! The rules, by number ([`Rule`] names the one that decided), are written out in `docs/design/membership.md`.
+#![forbid(unsafe_code)]
+
+mod members;
+pub mod wheel;
+
+pub use members::{
+    Binding, Change, Claim, Counts, Held, Input, Kind, Members, Removal, Rule, Settings, Source, Status,
+    View, Word,
+};
--- /dev/null
+++ b/membership/src/members.rs
@@ -0,0 +1,947 @@
+//! The claims, the rules, and the list.
+
+use crate::wheel::{Handle, Wheel};
+use reelrill::{Span, Time};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A source, as its host numbers them.
+pub type Source = u16;
+
+/// What a source is. A later kind is the better source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Records: no versions, and a secondary may be behind.
+    Records,
+    /// The roster: its versions only go up.
+    Roster,
+}
+
+/// What a claim says of the member's state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Word {
+    /// In service.
+    Ready,
+    /// Finishing its work; nothing new.
+    Draining,
+}
+
+/// What a source says of a member.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Claim {
+    /// Its own name; none: the source does not tell it.
+    pub uid: Option<Arc<str>>,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// Its group.
+    pub group: u32,
+    /// Its zone.
+    pub zone: u32,
+    /// Its state.
+    pub word: Word,
+    /// When it last started, in Unix nanoseconds; 0: not told, or long past.
+    pub started: Time,
+    /// The source's version of this word; 0 where it has none.
+    pub version: u64,
+    /// Its size as compared with others.
+    pub weight: f64,
+    /// Members of a higher tier are used only while their group has none in service in a lower one.
+    pub tier: u16,
+    /// When the claim is stale if it has not been told again; none: never.
+    pub until: Option<Time>,
+}
+
+impl Claim {
+    /// A member in service, with nothing else told.
+    pub fn new(uid: &str, endpoint: SocketAddr, group: u32) -> Claim {
+        let (word, uid) = (Word::Ready, Some(uid.into()));
+        Claim {
+            uid,
+            endpoint,
+            group,
+            zone: 0,
+            word,
+            started: 0,
+            version: 0,
+            weight: 1.0,
+            tier: 0,
+            until: None,
+        }
+    }
+}
+
+impl Claim {
+    /// Whether the list would say the same of it.
+    fn counts_as(&self, other: &Claim) -> bool {
+        (self.endpoint, self.group, self.zone, self.tier)
+            == (other.endpoint, other.group, other.zone, other.tier)
+            && self.weight == other.weight
+    }
+
+    /// Whether another says the same of the member, however old and long it holds.
+    fn says_as(&self, other: &Claim) -> bool {
+        let (version, until) = (other.version, other.until);
+        *other == Claim { version, until, ..self.clone() }
+    }
+}
+
+/// How a source takes a member's name back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Removal {
+    /// It says that the member is gone.
+    Gone,
+    /// It does not name it any more.
+    Absent,
+}
+
+/// What comes in.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A source is there from now on.
+    Source {
+        /// Its number.
+        source: Source,
+        /// What it is.
+        kind: Kind,
+    },
+    /// A source was taken out of the configuration: what it says no longer counts.
+    NoSource {
+        /// Its number.
+        source: Source,
+    },
+    /// A source names a member, or says something else of it.
+    Told {
+        /// The source.
+        source: Source,
+        /// The member, as the source names it.
+        name: Arc<str>,
+        /// What it says.
+        claim: Claim,
+    },
+    /// A source names a member no longer.
+    Removed {
+        /// The source.
+        source: Source,
+        /// The member, as the source names it.
+        name: Arc<str>,
+        /// How.
+        how: Removal,
+    },
+    /// These are all that the source names.
+    Whole {
+        /// The source.
+        source: Source,
+        /// As the source names them.
+        names: HashSet<Arc<str>>,
+    },
+    /// A source can't be heard: it answered with a failure, or not at all.
+    Failed {
+        /// The source.
+        source: Source,
+    },
+    /// A member answered for itself.
+    Answered {
+        /// The member.
+        member: Arc<str>,
+        /// It says that it leaves.
+        leaving: bool,
+    },
+}
+
+/// What is in the list of a member.
+#[derive(Debug, Clone, PartialEq)]
+pub struct View {
+    /// Where it is dialled.
+    pub endpoint: SocketAddr,
+    /// Its group.
+    pub group: u32,
+    /// Its zone.
+    pub zone: u32,
+    /// Its state.
+    pub word: Word,
+    /// When it last started.
+    pub started: Time,
+    /// Its size as compared with others.
+    pub weight: f64,
+}
+
+/// A change of the list.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// The member is in the list, like this.
+    Listed {
+        /// The member.
+        member: Arc<str>,
+        /// What the list says of it.
+        view: View,
+    },
+    /// The member is not in the list any more.
+    Gone {
+        /// The member.
+        member: Arc<str>,
+    },
+}
+
+impl Change {
+    /// The member that it is about.
+    pub fn member(&self) -> &str {
+        match self {
+            Change::Listed { member, .. } | Change::Gone { member } => member,
+        }
+    }
+}
+
+/// The rule that decided what the list says of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Rule {
+    /// A source names it and nothing speaks against it.
+    Named,
+    /// No source names it now, but it answered a short while ago.
+    Vouched,
+    /// No source names it.
+    Unnamed,
+    /// A source says that it drains, and nothing newer has lifted that.
+    Drain,
+    /// It says itself that it leaves.
+    OwnDrain,
+    /// A source says that it is gone, and nothing newer has lifted that.
+    Gone,
+    /// Another member has its endpoint.
+    Shadowed,
+    /// Its group has members in service in a lower tier.
+    Standby,
+}
+
+/// A claim as it is kept.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held {
+    /// Who says it.
+    pub source: Source,
+    /// The name there.
+    pub name: Arc<str>,
+    /// What is said.
+    pub claim: Claim,
+    /// When it was last told.
+    pub told: Time,
+    /// Since when it says the same.
+    pub since: Time,
+    /// It was not told again in time: it counts for less than one that was.
+    pub is_stale: bool,
+}
+
+/// A word that binds until something newer lifts it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Binding {
+    /// Who said it.
+    pub by: Source,
+    /// What that source is.
+    pub kind: Kind,
+    /// The start of the member that it was said of.
+    pub started: Time,
+    /// The source's version of it.
+    pub version: u64,
+    /// When it was said.
+    pub at: Time,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Member {
+    claims: Vec<Held>,
+    drain: Option<Binding>,
+    gone: Option<Binding>,
+    own_drain: Option<Time>,
+    answered: Option<Time>,
+    /// The view that the claims last gave: what a member that only vouches for itself is listed by.
+    last: Option<View>,
+    last_tier: u16,
+    /// Its place among those that are in service, by group and tier.
+    ranked: Option<(u32, u16)>,
+    listed: Option<View>,
+    rule: Option<Rule>,
+    /// The rule but for the tier.
+    judged: Option<Rule>,
+    /// The endpoint of the claim that counts.
+    best: Option<SocketAddr>,
+    timer: Option<Handle>,
+}
+
+#[derive(Debug, Clone)]
+struct Heard {
+    kind: Kind,
+    /// Since when it has not been heard.
+    silent: Option<Time>,
+}
+
+/// What the rules are to go by.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Settings {
+    /// How long a member's own answer vouches for it.
+    pub vouch: Span,
+    /// How long a member that nobody names is kept in mind, so that an old word about it is known for one.
+    pub remember: Span,
+    /// The most members; what comes beyond is not taken in, and counted.
+    pub most: usize,
+    /// Only newer word lifts a drain. Off only to show that a check finds it.
+    pub drains_hold: bool,
+    /// A failure of a source takes nothing away. Off only to show that a check finds it.
+    pub silence_keeps: bool,
+    /// A member that one source no longer names stays as long as others name it or it answers. Off only to show
+    /// that a check finds it.
+    pub absence_needs_all: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let (vouch, remember) = (30_000_000_000, 600_000_000_000);
+        let (drains_hold, silence_keeps, absence_needs_all) = (true, true, true);
+        Settings { vouch, remember, most: 65_536, drains_hold, silence_keeps, absence_needs_all }
+    }
+}
+
+/// What has been counted since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Members that came into the list, and that left it.
+    pub came: u64,
+    /// See `came`.
+    pub went: u64,
+    /// Words that another source's contradict, as they were told.
+    pub contradicted: u64,
+    /// Names that could stand for more than one member.
+    pub ambiguous: u64,
+    /// Claims beyond the bound.
+    pub refused: u64,
+}
+
+/// A member, for people.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Status {
+    /// The member.
+    pub member: Arc<str>,
+    /// What the list says of it, if it is there.
+    pub listed: Option<View>,
+    /// Why.
+    pub rule: Rule,
+    /// Who says what.
+    pub claims: Vec<Held>,
+    /// A drain that was told and not lifted.
+    pub drain: Option<Binding>,
+    /// Since when it says itself that it leaves.
+    pub own_drain: Option<Time>,
+    /// It was said to be gone, and that was not lifted.
+    pub gone: Option<Binding>,
+    /// When it last answered.
+    pub answered: Option<Time>,
+}
+
+/// All members.
+#[derive(Debug, Clone)]
+pub struct Members {
+    settings: Settings,
+    sources: BTreeMap<Source, Heard>,
+    members: HashMap<Arc<str>, Member>,
+    /// Which member a source's name stands for.
+    names: HashMap<(Source, Arc<str>), Arc<str>>,
+    /// Which members have claims of an endpoint, or were listed there last.
+    endpoints: HashMap<SocketAddr, Vec<Arc<str>>>,
+    /// The members in service, by group and tier.
+    tiers: HashMap<u32, BTreeMap<u16, HashSet<Arc<str>>>>,
+    wheel: Wheel<Arc<str>>,
+    /// Members whose claims differ in what the list would say.
+    disputed: HashSet<Arc<str>>,
+    counts: Counts,
+}
+
+/// What stands before the name of a member whose own name no source tells.
+const NAMELESS: &str = "name:";
+
+impl Members {
+    /// No sources and no members.
+    pub fn new(settings: Settings, now: Time) -> Members {
+        Members {
+            settings,
+            sources: BTreeMap::new(),
+            members: HashMap::new(),
+            names: HashMap::new(),
+            endpoints: HashMap::new(),
+            tiers: HashMap::new(),
+            wheel: Wheel::new(now),
+            disputed: HashSet::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// What has been counted.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// How many members are kept in mind, listed or not.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// All members, in the order of their names.
+    pub fn status(&self) -> Vec<Status> {
+        let status = |(id, m): (&Arc<str>, &Member)| Status {
+            member: id.clone(),
+            listed: m.listed.clone(),
+            rule: m.rule.unwrap_or(Rule::Unnamed),
+            claims: m.claims.clone(),
+            drain: m.drain,
+            own_drain: m.own_drain,
+            gone: m.gone,
+            answered: m.answered,
+        };
+        let mut all: Vec<Status> = self.members.iter().map(status).collect();
+        all.sort_by(|a, b| a.member.cmp(&b.member));
+        all
+    }
+
+    /// Since when a source has not been heard; none: it has, or is not known.
+    pub fn silent_since(&self, source: Source) -> Option<Time> {
+        self.sources.get(&source)?.silent
+    }
+
+    /// When [`Members::on_due`] is to be called at the latest.
+    pub fn next_due(&self) -> Option<Time> {
+        self.wheel.next_due()
+    }
+
+    /// Claims that are stale now, vouching that has ended, members to be forgotten.
+    pub fn on_due(&mut self, now: Time, changes: &mut Vec<Change>) {
+        let mut due = Vec::new();
+        self.wheel.expire(now, &mut due);
+        for id in due {
+            let Some(m) = self.members.get_mut(&id) else { continue };
+            m.timer = None;
+            for held in &mut m.claims {
+                held.is_stale |= held.claim.until.is_some_and(|until| until <= now);
+            }
+            self.settle(now, &id, changes);
+        }
+    }
+
+    /// Takes one input, and appends what it changes in the list.
+    pub fn handle(&mut self, now: Time, input: Input, changes: &mut Vec<Change>) {
+        match input {
+            Input::Source { source, kind } => {
+                self.sources.insert(source, Heard { kind, silent: None });
+            }
+            Input::NoSource { source } => self.on_no_source(now, source, changes),
+            Input::Told { source, name, claim } => self.on_told(now, source, name, claim, changes),
+            Input::Removed { source, name, how } => {
+                let changed = self.hear(now, source, true);
+                self.remove_all(now, source, vec![name], how, changes);
+                self.settle_disputed(now, changed, changes);
+            }
+            Input::Whole { source, names } => {
+                let changed = self.hear(now, source, true);
+                let is_absent = |(s, name): &&(Source, Arc<str>)| *s == source && !names.contains(name);
+                let absent: Vec<Arc<str>> =
+                    self.names.keys().filter(is_absent).map(|k| k.1.clone()).collect();
+                self.remove_all(now, source, absent, Removal::Absent, changes);
+                self.settle_disputed(now, changed, changes);
+            }
+            Input::Failed { source } => {
+                let changed = self.hear(now, source, false);
+                if !self.settings.silence_keeps {
+                    self.drop_claims(now, source, changes);
+                }
+                self.settle_disputed(now, changed, changes);
+            }
+            Input::Answered { member, leaving } => self.on_answered(now, &member, leaving, changes),
+        }
+    }
+
+    /// A source is heard again, or no longer. Says whether that is new.
+    fn hear(&mut self, now: Time, source: Source, is_heard: bool) -> bool {
+        let Some(heard) = self.sources.get_mut(&source) else { return false };
+        if heard.silent.is_none() == is_heard {
+            return false;
+        }
+        heard.silent = (!is_heard).then_some(now);
+        true
+    }
+
+    /// What a source says counts for more, or for less, where others contradict it.
+    fn settle_disputed(&mut self, now: Time, changed: bool, changes: &mut Vec<Change>) {
+        if !changed {
+            return;
+        }
+        let mut disputed: Vec<Arc<str>> = self.disputed.iter().cloned().collect();
+        disputed.sort_unstable();
+        for id in disputed {
+            self.settle(now, &id, changes);
+        }
+    }
+
+    fn on_answered(&mut self, now: Time, id: &Arc<str>, leaving: bool, changes: &mut Vec<Change>) {
+        // The usual case, many times a second: one look-up, and nothing else to do.
+        let Some(m) = self.members.get_mut(id) else { return };
+        m.answered = Some(now);
+        if leaving != m.own_drain.is_some() || m.rule == Some(Rule::Unnamed) {
+            m.own_drain = leaving.then_some(now);
+            self.settle(now, id, changes);
+        }
+    }
+
+    fn on_no_source(&mut self, now: Time, source: Source, changes: &mut Vec<Change>) {
+        self.drop_claims(now, source, changes);
+        self.sources.remove(&source);
+        let bound: Vec<Arc<str>> =
+            self.members.iter().filter(|(_, m)| m.is_bound_by(source)).map(|(id, _)| id.clone()).collect();
+        for id in bound {
+            if let Some(m) = self.members.get_mut(&id) {
+                m.drain = m.drain.filter(|b| b.by != source);
+                m.gone = m.gone.filter(|b| b.by != source);
+            }
+            self.settle(now, &id, changes);
+        }
+    }
+
+    fn drop_claims(&mut self, now: Time, source: Source, changes: &mut Vec<Change>) {
+        let names: Vec<Arc<str>> = self.names.keys().filter(|k| k.0 == source).map(|k| k.1.clone()).collect();
+        self.remove_all(now, source, names, Removal::Absent, changes);
+    }
+
+    /// Those that a source names at an endpoint now.
+    fn claimants(&self, endpoint: SocketAddr) -> Vec<Arc<str>> {
+        let claims = |id: &&Arc<str>| {
+            self.members.get(*id).is_some_and(|m| m.claims.iter().any(|h| h.claim.endpoint == endpoint))
+        };
+        self.endpoints.get(&endpoint).into_iter().flatten().filter(claims).cloned().collect()
+    }
+
+    /// Which member a claim is about. Its own name says so; else the one member that has its endpoint; else it is
+    /// kept apart, under the source's name for it.
+    fn identify(&mut self, source: Source, name: &Arc<str>, claim: &Claim) -> Arc<str> {
+        if let Some(uid) = &claim.uid {
+            return uid.clone();
+        }
+        let at = self.claimants(claim.endpoint);
+        let mut named = at.iter().filter(|id| !id.starts_with(NAMELESS));
+        match (named.next(), named.next()) {
+            (Some(only), None) => return only.clone(),
+            (Some(_), Some(_)) if !self.names.contains_key(&(source, name.clone())) => {
+                self.counts.ambiguous += 1
+            }
+            _ => {}
+        }
+        format!("{NAMELESS}{source}:{name}").into()
+    }
+
+    fn on_told(
+        &mut self,
+        now: Time,
+        source: Source,
+        name: Arc<str>,
+        claim: Claim,
+        changes: &mut Vec<Change>,
+    ) {
+        let Some(kind) = self.sources.get(&source).map(|s| s.kind) else { return };
+        let changed = self.hear(now, source, true);
+        let id = self.identify(source, &name, &claim);
+        if !self.members.contains_key(&id) && self.members.len() >= self.settings.most {
+            self.counts.refused += 1;
+            return;
+        }
+        let key = (source, name.clone());
+        let before = self.names.insert(key, id.clone());
+        // The source may give the name to another member; that one is judged once the name is where it belongs.
+        let given = before
+            .filter(|before| *before != id)
+            .and_then(|before| Some((self.unclaim(source, &name, &before)?.claim.endpoint, before)));
+        let m = self.members.entry(id.clone()).or_default();
+        let contradicts = |h: &Held| h.source != source && !h.is_stale && h.claim.word != claim.word;
+        let is_news =
+            !m.claims.iter().any(|h| h.source == source && h.name == name && h.claim.word == claim.word);
+        self.counts.contradicted += u64::from(is_news && m.claims.iter().any(contradicts));
+        m.bind(now, source, kind, &claim, self.settings.drains_hold);
+        let endpoint = claim.endpoint;
+        let is_stale = claim.until.is_some_and(|until| until <= now);
+        let mut held = Held { source, name: name.clone(), claim, told: now, since: now, is_stale };
+        let mut moved = None;
+        match m.claims.iter_mut().find(|h| h.source == source && h.name == name) {
+            Some(old) => {
+                moved = Some(old.claim.endpoint).filter(|e| *e != endpoint);
+                if old.claim.says_as(&held.claim) {
+                    held.since = old.since;
+                }
+                *old = held;
+            }
+            None => m.claims.push(held),
+        }
+        self.enter(endpoint, &id, now, changes);
+        if let Some(old) = moved {
+            self.leave(old, &id, now, changes);
+        }
+        self.settle(now, &id, changes);
+        if let Some((endpoint, before)) = given {
+            self.leave(endpoint, &before, now, changes);
+            self.settle(now, &before, changes);
+        }
+        self.settle_others(now, endpoint, &id, changes);
+        self.settle_disputed(now, changed, changes);
+    }
+
+    /// A member has a claim of an endpoint. Nameless ones that stood for it are the same member.
+    fn enter(&mut self, endpoint: SocketAddr, id: &Arc<str>, now: Time, changes: &mut Vec<Change>) {
+        let at = self.endpoints.entry(endpoint).or_default();
+        if !at.contains(id) {
+            at.push(id.clone());
+        }
+        if at.len() == 1 {
+            return;
+        }
+        let at = self.claimants(endpoint);
+        let is_named = |id: &Arc<str>| !id.starts_with(NAMELESS);
+        if !is_named(id) || at.iter().filter(|id| is_named(id)).count() != 1 {
+            return;
+        }
+        let nameless: Vec<Arc<str>> = at.iter().filter(|id| !is_named(id)).cloned().collect();
+        for other in nameless {
+            let Some(m) = self.members.get_mut(&other) else { continue };
+            let claims: Vec<Held> = m.claims.extract_if(.., |h| h.claim.endpoint == endpoint).collect();
+            let (drain, answered) = (m.drain, m.answered);
+            for held in &claims {
+                self.names.insert((held.source, held.name.clone()), id.clone());
+            }
+            if let Some(m) = self.members.get_mut(id) {
+                m.claims.extend(claims);
+                m.drain = m.drain.or(drain);
+                m.answered = m.answered.max(answered);
+            }
+            self.leave(endpoint, &other, now, changes);
+            self.settle(now, &other, changes);
+        }
+    }
+
+    /// A member may have no claim of an endpoint any more; then others may have it.
+    fn leave(&mut self, endpoint: SocketAddr, id: &Arc<str>, now: Time, changes: &mut Vec<Change>) {
+        let m = self.members.get(id);
+        if m.is_some_and(|m| m.claims.iter().any(|h| h.claim.endpoint == endpoint)) {
+            return;
+        }
+        self.unindex(endpoint, id);
+        self.settle_others(now, endpoint, id, changes);
+    }
+
+    /// A member without a claim of an endpoint has no place there, unless it may vouch for itself there.
+    fn unindex(&mut self, endpoint: SocketAddr, id: &Arc<str>) {
+        let m = self.members.get(id);
+        let is_last = m.is_some_and(|m| m.last.as_ref().is_some_and(|v| v.endpoint == endpoint));
+        if is_last || m.is_some_and(|m| m.claims.iter().any(|h| h.claim.endpoint == endpoint)) {
+            return;
+        }
+        if let Some(at) = self.endpoints.get_mut(&endpoint) {
+            at.retain(|other| other != id);
+            if at.is_empty() {
+                self.endpoints.remove(&endpoint);
+            }
+        }
+    }
+
+    /// Those that share an endpoint with a member that has changed.
+    fn settle_others(&mut self, now: Time, endpoint: SocketAddr, id: &Arc<str>, changes: &mut Vec<Change>) {
+        let Some(at) = self.endpoints.get(&endpoint).filter(|at| at.len() > 1 || !at.contains(id)) else {
+            return;
+        };
+        let others: Vec<Arc<str>> = at.iter().filter(|other| *other != id).cloned().collect();
+        for other in others {
+            self.settle(now, &other, changes);
+        }
+    }
+
+    /// Takes a claim out.
+    fn unclaim(&mut self, source: Source, name: &Arc<str>, id: &Arc<str>) -> Option<Held> {
+        let m = self.members.get_mut(id)?;
+        let at = m.claims.iter().position(|h| h.source == source && h.name == *name)?;
+        Some(m.claims.swap_remove(at))
+    }
+
+    /// Takes claims out, all before anything is judged by what is left.
+    fn remove_all(
+        &mut self,
+        now: Time,
+        source: Source,
+        mut names: Vec<Arc<str>>,
+        how: Removal,
+        changes: &mut Vec<Change>,
+    ) {
+        let Some(kind) = self.sources.get(&source).map(|h| h.kind) else { return };
+        names.sort_unstable();
+        let mut touched = Vec::new();
+        for name in names {
+            let Some(id) = self.names.remove(&(source, name.clone())) else { continue };
+            let Some(held) = self.unclaim(source, &name, &id) else { continue };
+            if let Some(m) = self.members.get_mut(&id)
+                && (how == Removal::Gone || !self.settings.absence_needs_all)
+            {
+                let (started, version) = (held.claim.started, held.claim.version);
+                m.gone = Some(Binding { by: source, kind, started, version, at: now });
+            }
+            touched.push((id, held.claim.endpoint));
+        }
+        for (id, endpoint) in &touched {
+            self.leave(*endpoint, id, now, changes);
+        }
+        for (id, _) in &touched {
+            self.settle(now, id, changes);
+        }
+    }
+
+    /// Judges a member anew and tells what that changes, for it and for those that depend on it.
+    fn settle(&mut self, now: Time, id: &Arc<str>, changes: &mut Vec<Change>) {
+        let Some((rule, view, tier)) = self.judge(now, id) else { return };
+        let Some(m) = self.members.get_mut(id) else { return };
+        // In service and not held back by anything but its tier.
+        let ranked = view.as_ref().filter(|v| v.word == Word::Ready).map(|v| (v.group, tier));
+        let before = std::mem::replace(&mut m.ranked, ranked);
+        let last = view.as_ref().and_then(|view| {
+            m.last_tier = tier;
+            m.last.replace(view.clone())
+        });
+        m.rule = Some(rule);
+        m.judged = Some(rule);
+        let had = m.best;
+        if before != ranked {
+            if let Some((group, tier)) = before {
+                self.unrank(group, tier, id, now, changes);
+            }
+            if let Some((group, tier)) = ranked {
+                self.rank(group, tier, id, now, changes);
+            }
+        }
+        self.publish(id, view, tier, changes);
+        let has = self.members.get(id).and_then(|m| self.endpoint_of(m));
+        if let Some(m) = self.members.get_mut(id) {
+            m.best = has;
+            // Which of its claims counts may turn on whether their sources are heard.
+            let differ = |h: &Held| !h.claim.counts_as(&m.claims[0].claim);
+            if m.claims.iter().any(differ) {
+                self.disputed.insert(id.clone());
+            } else {
+                self.disputed.remove(id);
+            }
+        }
+        if let Some(last) = last {
+            self.unindex(last.endpoint, id);
+        }
+        for endpoint in had.into_iter().chain(has.filter(|_| has != had)) {
+            self.settle_shadows(now, endpoint, id, changes);
+        }
+        self.schedule(now, id);
+    }
+
+    /// Those that would have an endpoint, but for the member that has it or had it. Each settles by the same order,
+    /// so this ends.
+    fn settle_shadows(&mut self, now: Time, endpoint: SocketAddr, id: &Arc<str>, changes: &mut Vec<Change>) {
+        let at = self.endpoints.get(&endpoint).cloned().unwrap_or_default();
+        for other in at.iter().filter(|other| *other != id) {
+            let rule = self.judge(now, other).map(|j| j.0);
+            if rule != self.members.get(other).and_then(|m| m.judged) {
+                self.settle(now, other, changes);
+            }
+        }
+    }
+
+    fn lowest(&self, group: u32) -> Option<u16> {
+        self.tiers.get(&group)?.keys().next().copied()
+    }
+
+    fn rank(&mut self, group: u32, tier: u16, id: &Arc<str>, now: Time, changes: &mut Vec<Change>) {
+        let before = self.lowest(group);
+        self.tiers.entry(group).or_default().entry(tier).or_default().insert(id.clone());
+        self.retier(group, before, now, changes);
+    }
+
+    fn unrank(&mut self, group: u32, tier: u16, id: &Arc<str>, now: Time, changes: &mut Vec<Change>) {
+        let before = self.lowest(group);
+        if let Some(tiers) = self.tiers.get_mut(&group) {
+            if let Some(members) = tiers.get_mut(&tier) {
+                members.remove(id);
+                if members.is_empty() {
+                    tiers.remove(&tier);
+                }
+            }
+            if tiers.is_empty() {
+                self.tiers.remove(&group);
+            }
+        }
+        self.retier(group, before, now, changes);
+    }
+
+    /// Another tier of a group is the lowest one: the members of both change places.
+    fn retier(&mut self, group: u32, before: Option<u16>, now: Time, changes: &mut Vec<Change>) {
+        let after = self.lowest(group);
+        if before == after {
+            return;
+        }
+        let of = |tier: Option<u16>| tier.and_then(|t| self.tiers.get(&group)?.get(&t).cloned());
+        let affected: Vec<Arc<str>> = [of(after), of(before)].into_iter().flatten().flatten().collect();
+        for id in affected {
+            if let Some((rule, view, tier)) = self.judge(now, &id) {
+                if let Some(m) = self.members.get_mut(&id) {
+                    (m.rule, m.judged) = (Some(rule), Some(rule));
+                }
+                self.publish(&id, view, tier, changes);
+            }
+        }
+    }
+
+    /// Tells what the list says of a member, if that is new.
+    fn publish(&mut self, id: &Arc<str>, view: Option<View>, tier: u16, changes: &mut Vec<Change>) {
+        let is_standby = view.as_ref().is_some_and(|v| {
+            v.word == Word::Ready && self.lowest(v.group).is_some_and(|lowest| lowest < tier)
+        });
+        let Some(m) = self.members.get_mut(id) else { return };
+        if is_standby {
+            m.rule = Some(Rule::Standby);
+        }
+        let view = view.filter(|_| !is_standby);
+        if m.listed == view {
+            return;
+        }
+        match (&m.listed, &view) {
+            (None, Some(_)) => self.counts.came += 1,
+            (Some(_), None) => self.counts.went += 1,
+            _ => {}
+        }
+        m.listed.clone_from(&view);
+        let member = id.clone();
+        changes.push(match view {
+            Some(view) => Change::Listed { member, view },
+            None => Change::Gone { member },
+        });
+    }
+
+    /// What the rules say of a member, but for its tier.
+    fn judge(&self, now: Time, id: &Arc<str>) -> Option<(Rule, Option<View>, u16)> {
+        let m = self.members.get(id)?;
+        if m.gone.is_some() {
+            return Some((Rule::Gone, None, 0));
+        }
+        let answered = m.answered.is_some_and(|at| now < at.saturating_add(self.settings.vouch));
+        let best = m.claims.iter().max_by(|a, b| self.compare(a, b));
+        let (mut rule, mut view, tier) = match (best, &m.last) {
+            (Some(h), _) => {
+                let c = &h.claim;
+                let started = m.claims.iter().map(|h| h.claim.started).max().unwrap_or(0);
+                let (endpoint, group, zone, weight) = (c.endpoint, c.group, c.zone, c.weight);
+                (Rule::Named, View { endpoint, group, zone, word: Word::Ready, started, weight }, c.tier)
+            }
+            (None, Some(last)) if answered => (Rule::Vouched, last.clone(), m.last_tier),
+            _ => return Some((Rule::Unnamed, None, 0)),
+        };
+        let (mine, endpoint) = (self.hold(m, id), view.endpoint);
+        let others = self.endpoints.get(&endpoint).map_or(&[][..], |at| at);
+        let is_shadowed = others.iter().filter(|other| *other != id).any(|other| {
+            self.members.get(other).is_some_and(|o| {
+                let has = o.gone.is_none() && self.endpoint_of(o) == Some(endpoint);
+                has && self.hold(o, other) > mine
+            })
+        });
+        if is_shadowed {
+            return Some((Rule::Shadowed, None, tier));
+        }
+        view.word = Word::Ready;
+        if m.drain.is_some() || m.own_drain.is_some() {
+            rule = if m.drain.is_some() { Rule::Drain } else { Rule::OwnDrain };
+            view.word = Word::Draining;
+        }
+        Some((rule, Some(view), tier))
+    }
+
+    fn endpoint_of(&self, m: &Member) -> Option<SocketAddr> {
+        m.claims.iter().max_by(|a, b| self.compare(a, b)).map(|h| h.claim.endpoint)
+    }
+
+    /// How strong a member's hold of its endpoint is: a name of its own, the newest start, the newest word; the
+    /// name itself, so that no two are alike.
+    fn hold<'a>(&self, m: &Member, id: &'a Arc<str>) -> (bool, Time, Time, &'a str) {
+        let started = m.claims.iter().map(|h| h.claim.started).max().unwrap_or(0);
+        let since = m.claims.iter().map(|h| h.since).max().unwrap_or(0);
+        (!id.starts_with(NAMELESS), started, since, id)
+    }
+
+    /// Which of two claims about one member counts: the newer start; a fresh one of a source that is heard; the
+    /// better source; the newer word, which is not the one that was repeated last.
+    fn compare(&self, a: &Held, b: &Held) -> std::cmp::Ordering {
+        let heard = |h: &Held| self.sources.get(&h.source).is_some_and(|s| s.silent.is_none());
+        let kind = |h: &Held| self.sources.get(&h.source).map(|s| s.kind);
+        let order = |h: &Held| (h.claim.started, !h.is_stale, heard(h), kind(h), h.since, h.source);
+        order(a).cmp(&order(b)).then_with(|| a.name.cmp(&b.name))
+    }
+
+    /// Looks again when a claim gets stale, when vouching ends, or when the member can be forgotten.
+    fn schedule(&mut self, now: Time, id: &Arc<str>) {
+        let Some(m) = self.members.get_mut(id) else { return };
+        let stale = m.claims.iter().filter(|h| !h.is_stale).filter_map(|h| h.claim.until).min();
+        let (vouch, remember) = (self.settings.vouch, self.settings.remember);
+        let unnamed = m.claims.is_empty();
+        let vouched = m.answered.map(|at| at.saturating_add(vouch)).filter(|at| unnamed && *at > now);
+        if unnamed && m.listed.is_none() && vouched.is_none() {
+            let last = m.answered.max(m.gone.map(|b| b.at)).max(m.drain.map(|b| b.at)).unwrap_or(0);
+            let until = last.saturating_add(remember);
+            if until <= now {
+                let Some(m) = self.members.remove(id) else { return };
+                self.disputed.remove(id);
+                if let Some(timer) = m.timer {
+                    self.wheel.cancel(timer);
+                }
+                if let Some(last) = m.last {
+                    self.unindex(last.endpoint, id);
+                }
+                return;
+            }
+            m.arm(&mut self.wheel, Some(until), id);
+            return;
+        }
+        m.arm(&mut self.wheel, stale.into_iter().chain(vouched).min(), id);
+    }
+}
+
+impl Member {
+    fn is_bound_by(&self, source: Source) -> bool {
+        [self.drain, self.gone].into_iter().flatten().any(|b| b.by == source)
+    }
+
+    /// What a claim binds, and what it lifts. Newer word of the same or a better source lifts: a newer start, or
+    /// a newer version that says so. An older record that still points there lifts nothing. That a member is gone
+    /// ends with a newer start, whoever tells it: another process is there now.
+    fn bind(&mut self, now: Time, source: Source, kind: Kind, claim: &Claim, drains_hold: bool) {
+        let is_newer_version =
+            |b: &Binding| source == b.by && kind == Kind::Roster && claim.version > b.version;
+        let lifts = |b: &Binding| (claim.started > b.started && kind >= b.kind) || is_newer_version(b);
+        self.gone = self.gone.filter(|b| claim.started <= b.started && !is_newer_version(b));
+        match claim.word {
+            Word::Ready => self.drain = self.drain.filter(|b| drains_hold && !lifts(b)),
+            Word::Draining => {
+                let (by, started, version) = (source, claim.started, claim.version);
+                let new = Binding { by, kind, started, version, at: now };
+                // Of two that say so, the better source's word is the one that must be lifted.
+                let is_kept = |b: &Binding| b.kind > kind && b.started >= started;
+                self.drain = self.drain.filter(is_kept).or(Some(new));
+            }
+        }
+    }
+
+    fn arm(&mut self, wheel: &mut Wheel<Arc<str>>, at: Option<Time>, id: &Arc<str>) {
+        match (self.timer, at) {
+            (Some(timer), Some(at)) if wheel.reset(timer, at) => {}
+            (timer, at) => {
+                if let Some(timer) = timer {
+                    wheel.cancel(timer);
+                }
+                self.timer = at.map(|at| wheel.insert(at, id.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/membership/tests/reference.rs
@@ -0,0 +1,340 @@
+//! The members against a plain reference: claims in one vector, and all judged anew after every input.
+
+use proptest::prelude::*;
+use reelrill_membership::{Change, Claim, Held, Input, Kind, Members, Removal, Settings, View, Word};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// All times are whole ticks of the wheel, so that both see what is due at the same moment.
+const TICK: u64 = 1 << 20;
+const SECOND: u64 = 1000 * TICK;
+const VOUCH: u64 = 30 * SECOND;
+
+type Uid = Arc<str>;
+
+/// Bound by whom, of what kind, at which start and version.
+type Bound = Option<(u16, Kind, u64, u64)>;
+
+#[derive(Default)]
+struct Plain {
+    sources: BTreeMap<u16, (Kind, bool)>,
+    claims: Vec<(Uid, Held)>,
+    drains: BTreeMap<Uid, Bound>,
+    gone: BTreeMap<Uid, Bound>,
+    own: BTreeSet<Uid>,
+    known: BTreeSet<Uid>,
+    answered: BTreeMap<Uid, u64>,
+    last: BTreeMap<Uid, (View, u16)>,
+}
+
+fn is_nameless(uid: &str) -> bool {
+    uid.starts_with("name:")
+}
+
+impl Plain {
+    fn of<'a>(&'a self, uid: &'a str) -> impl Iterator<Item = &'a Held> {
+        self.claims.iter().filter(move |(u, _)| **u == *uid).map(|(_, h)| h)
+    }
+
+    fn best<'a>(&'a self, uid: &'a str) -> Option<&'a Held> {
+        let order = |h: &Held| {
+            let source = self.sources.get(&h.source);
+            let (heard, kind) = (source.is_some_and(|s| !s.1), source.map(|s| s.0));
+            (h.claim.started, !h.is_stale, heard, kind, h.since, h.source, h.name.clone())
+        };
+        self.of(uid).max_by_key(|h| order(h))
+    }
+
+    fn at(&self, endpoint: SocketAddr) -> BTreeSet<Uid> {
+        self.claims.iter().filter(|(_, h)| h.claim.endpoint == endpoint).map(|(u, _)| u.clone()).collect()
+    }
+
+    fn remove(&mut self, source: u16, name: &str) -> Option<(Uid, Held)> {
+        let at = self.claims.iter().position(|(_, h)| h.source == source && *h.name == *name)?;
+        Some(self.claims.remove(at))
+    }
+
+    fn told(&mut self, now: u64, source: u16, name: &Uid, claim: &Claim) {
+        let Some(known) = self.sources.get_mut(&source) else { return };
+        known.1 = false;
+        let kind = known.0;
+        let named: Vec<Uid> = self.at(claim.endpoint).into_iter().filter(|u| !is_nameless(u)).collect();
+        let uid = match (&claim.uid, &named[..]) {
+            (Some(uid), _) => uid.clone(),
+            (None, [only]) => only.clone(),
+            _ => format!("name:{source}:{name}").into(),
+        };
+        let old = self.remove(source, name).filter(|(u, _)| *u == uid);
+        let same = old.filter(|(_, h)| {
+            Claim { version: 0, until: None, ..h.claim.clone() }
+                == Claim { version: 0, until: None, ..claim.clone() }
+        });
+        let since = same.map_or(now, |(_, h)| h.since);
+        let lifts = |b: &(u16, Kind, u64, u64)| {
+            (claim.started > b.2 && kind >= b.1)
+                || (source == b.0 && kind == Kind::Roster && claim.version > b.3)
+        };
+        let gone = self.gone.entry(uid.clone()).or_default();
+        *gone = gone.filter(|b| {
+            claim.started <= b.2 && !(source == b.0 && kind == Kind::Roster && claim.version > b.3)
+        });
+        let drain = self.drains.entry(uid.clone()).or_default();
+        *drain = match claim.word {
+            Word::Ready => drain.filter(|b| !lifts(b)),
+            Word::Draining => drain.filter(|b| b.1 > kind && b.2 >= claim.started).or(Some((
+                source,
+                kind,
+                claim.started,
+                claim.version,
+            ))),
+        };
+        let held =
+            Held { source, name: name.clone(), claim: claim.clone(), told: now, since, is_stale: false };
+        self.claims.push((uid.clone(), held));
+        self.known.insert(uid.clone());
+        // One named member at an endpoint takes what nameless ones claimed there.
+        let named: Vec<Uid> = self.at(claim.endpoint).into_iter().filter(|u| !is_nameless(u)).collect();
+        if named == [uid.clone()] {
+            let mut taken = BTreeSet::new();
+            for (u, h) in &mut self.claims {
+                if is_nameless(u) && h.claim.endpoint == claim.endpoint {
+                    taken.insert(std::mem::replace(u, uid.clone()));
+                }
+            }
+            for other in taken {
+                let drain = self.drains.get(&other).copied().flatten();
+                let mine = self.drains.entry(uid.clone()).or_default();
+                *mine = mine.or(drain);
+                if let Some(at) = self.answered.get(&other).copied() {
+                    let mine = self.answered.entry(uid.clone()).or_default();
+                    *mine = at.max(*mine);
+                }
+            }
+        }
+    }
+
+    fn removed(&mut self, source: u16, name: &str, how: Removal) {
+        if let Some((uid, held)) = self.remove(source, name)
+            && how == Removal::Gone
+        {
+            let kind = self.sources[&source].0;
+            self.gone.insert(uid, Some((source, kind, held.claim.started, held.claim.version)));
+        }
+    }
+
+    fn handle(&mut self, now: u64, input: &Input) {
+        match input {
+            Input::Source { source, kind } => drop(self.sources.insert(*source, (*kind, false))),
+            Input::NoSource { source } => {
+                self.claims.retain(|(_, h)| h.source != *source);
+                self.sources.remove(source);
+                for bound in self.drains.values_mut().chain(self.gone.values_mut()) {
+                    *bound = bound.filter(|b| b.0 != *source);
+                }
+            }
+            Input::Told { source, name, claim } => self.told(now, *source, name, claim),
+            Input::Removed { source, name, how } => {
+                if let Some(s) = self.sources.get_mut(source) {
+                    s.1 = false;
+                    self.removed(*source, name, *how);
+                }
+            }
+            Input::Whole { source, names } => {
+                if let Some(s) = self.sources.get_mut(source) {
+                    s.1 = false;
+                }
+                self.claims.retain(|(_, h)| h.source != *source || names.contains(&h.name));
+            }
+            Input::Failed { source } => {
+                if let Some(s) = self.sources.get_mut(source) {
+                    s.1 = true;
+                }
+            }
+            Input::Answered { member, leaving } => {
+                if self.known.contains(member) {
+                    self.answered.insert(member.clone(), now);
+                    if *leaving {
+                        self.own.insert(member.clone())
+                    } else {
+                        self.own.remove(member)
+                    };
+                }
+            }
+        }
+    }
+
+    /// The whole list, judged anew.
+    fn list(&mut self, now: u64) -> BTreeMap<Uid, View> {
+        for (_, h) in &mut self.claims {
+            h.is_stale |= h.claim.until.is_some_and(|u| u <= now);
+        }
+        let mut uids: BTreeSet<Uid> = self.claims.iter().map(|(u, _)| u.clone()).collect();
+        uids.extend(self.last.keys().cloned());
+        let hold = |p: &Plain, uid: &Uid| {
+            let started = p.of(uid).map(|h| h.claim.started).max().unwrap_or(0);
+            let since = p.of(uid).map(|h| h.since).max().unwrap_or(0);
+            (!is_nameless(uid), started, since, uid.clone())
+        };
+        let bound = |map: &BTreeMap<Uid, Bound>, uid: &Uid| map.get(uid).copied().flatten().is_some();
+        let mut list: BTreeMap<Uid, (View, u16)> = BTreeMap::new();
+        for uid in &uids {
+            if bound(&self.gone, uid) {
+                continue;
+            }
+            let answered = self.answered.get(uid).is_some_and(|at| now < at + VOUCH);
+            let (mut view, tier) = match (self.best(uid), self.last.get(uid)) {
+                (Some(h), _) => {
+                    let c = &h.claim;
+                    let started = self.of(uid).map(|h| h.claim.started).max().unwrap_or(0);
+                    let (endpoint, group, zone, weight) = (c.endpoint, c.group, c.zone, c.weight);
+                    (View { endpoint, group, zone, word: Word::Ready, started, weight }, c.tier)
+                }
+                (None, Some(last)) if answered => last.clone(),
+                _ => continue,
+            };
+            let shadowed =
+                self.at(view.endpoint).iter().filter(|o| *o != uid && !bound(&self.gone, o)).any(|o| {
+                    self.best(o).is_some_and(|h| h.claim.endpoint == view.endpoint)
+                        && hold(self, o) > hold(self, uid)
+                });
+            if shadowed {
+                continue;
+            }
+            let leaves = bound(&self.drains, uid) || self.own.contains(uid);
+            view.word = if leaves { Word::Draining } else { Word::Ready };
+            list.insert(uid.clone(), (view, tier));
+        }
+        for (uid, (view, tier)) in &list {
+            self.last.insert(uid.clone(), (view.clone(), *tier));
+        }
+        let mut lowest: BTreeMap<u32, u16> = BTreeMap::new();
+        for (view, tier) in list.values().filter(|(v, _)| v.word == Word::Ready) {
+            let lowest = lowest.entry(view.group).or_insert(*tier);
+            *lowest = *tier.min(lowest);
+        }
+        let in_use = |(_, (view, tier)): &(Uid, (View, u16))| {
+            view.word == Word::Draining || lowest[&view.group] == *tier
+        };
+        list.into_iter().filter(in_use).map(|(uid, (view, _))| (uid, view)).collect()
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Input(Input),
+    Wait(u64),
+}
+
+fn uid() -> impl Strategy<Value = Uid> {
+    (0..4u8).prop_map(|n| format!("s-{n}").into())
+}
+
+fn claim() -> impl Strategy<Value = Claim> {
+    let uid = prop_oneof![3 => uid().prop_map(Some), 1 => Just(None)];
+    let until = prop_oneof![Just(None), Just(Some(0u64)), Just(Some(SECOND)), Just(Some(86_400 * SECOND))];
+    let place = (1..5u16, 1..3u32, 0..2u16);
+    (uid, place, proptest::bool::weighted(0.7), 0..3u64, until).prop_map(
+        |(uid, place, ready, started, until)| Claim {
+            uid,
+            word: if ready { Word::Ready } else { Word::Draining },
+            started,
+            until,
+            tier: place.2,
+            ..Claim::new("", SocketAddr::from(([127, 0, 0, 1], place.0)), place.1)
+        },
+    )
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let name = || (0..4u8).prop_map(|n| Uid::from(format!("n{n}")));
+    let how = prop_oneof![Just(Removal::Gone), Just(Removal::Absent)];
+    let whole = proptest::collection::hash_set(name(), 0..4);
+    let input = prop_oneof![
+        8 => (0..3u16, name(), claim()).prop_map(|(source, name, claim)| Input::Told { source, name, claim }),
+        3 => (0..3u16, name(), how).prop_map(|(source, name, how)| Input::Removed { source, name, how }),
+        1 => (0..3u16, whole).prop_map(|(source, names)| Input::Whole { source, names }),
+        1 => (0..3u16).prop_map(|source| Input::Failed { source }),
+        3 => (uid(), any::<bool>()).prop_map(|(member, leaving)| Input::Answered { member, leaving }),
+    ];
+    prop_oneof![8 => input.prop_map(Step::Input), 1 => (0..40_000u64).prop_map(|n| Step::Wait(n * TICK))]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_list_is_the_one_that_is_rebuilt(steps in proptest::collection::vec(step(), 1..40)) {
+        let start = 1_000_000 * SECOND;
+        // Nothing is forgotten within the test: the reference never forgets.
+        let settings = Settings { vouch: VOUCH, remember: u64::MAX / 4, ..Settings::default() };
+        let (mut members, mut plain) = (Members::new(settings, start), Plain::default());
+        let (mut now, mut changes, mut version) = (start, Vec::new(), 0);
+        let mut list: BTreeMap<Uid, View> = BTreeMap::new();
+        for (source, kind) in [(0, Kind::Roster), (1, Kind::Records), (2, Kind::Records)] {
+            let input = Input::Source { source, kind };
+            plain.handle(now, &input);
+            members.handle(now, input, &mut changes);
+        }
+        for step in steps {
+            match step {
+                Step::Wait(span) => now += span,
+                Step::Input(mut input) => {
+                    now += 2 * TICK;
+                    if let Input::Told { source, claim, .. } = &mut input {
+                        version += 1;
+                        claim.version = if *source == 0 { version } else { 0 };
+                        claim.until = claim.until.map(|ttl| now + ttl);
+                    }
+                    plain.list(now);
+                    plain.handle(now, &input);
+                    members.on_due(now, &mut changes);
+                    members.handle(now, input, &mut changes);
+                }
+            }
+            members.on_due(now, &mut changes);
+            for change in changes.drain(..) {
+                match change {
+                    Change::Listed { member, view } => drop(list.insert(member, view)),
+                    Change::Gone { member } => drop(list.remove(&member)),
+                }
+            }
+            prop_assert_eq!(&list, &plain.list(now));
+        }
+    }
+}
+
+/// Guards the tables that are kept beside the claims: a removed source leaves nothing behind.
+#[test]
+fn a_source_that_is_removed_takes_only_its_own() {
+    let mut members = Members::new(Settings { vouch: 0, remember: 0, ..Settings::default() }, SECOND);
+    let mut changes = Vec::new();
+    for (source, kind) in [(0, Kind::Roster), (1, Kind::Records)] {
+        members.handle(SECOND, Input::Source { source, kind }, &mut changes);
+    }
+    for n in 0..10u16 {
+        let at = SocketAddr::from(([127, 0, 0, 1], 7000 + n));
+        let claim = Claim::new(&format!("s-{n}"), at, 1);
+        let name: Uid = format!("n{n}").into();
+        members.handle(
+            SECOND,
+            Input::Told { source: n % 2, name: name.clone(), claim: claim.clone() },
+            &mut changes,
+        );
+        if n < 4 {
+            members.handle(SECOND, Input::Told { source: (n + 1) % 2, name, claim }, &mut changes);
+        }
+    }
+    changes.clear();
+    members.handle(2 * SECOND, Input::NoSource { source: 1 }, &mut changes);
+    let gone: HashSet<&str> = changes.iter().map(Change::member).collect();
+    assert_eq!(gone, HashSet::from(["s-5", "s-7", "s-9"]));
+    assert_eq!(members.len(), 7);
+    members.handle(2 * SECOND, Input::NoSource { source: 0 }, &mut changes);
+    assert!(members.is_empty() && members.next_due().is_none());
+}
