Browse service records without I/O, against a scripted DNS server

Need: members are to be found from DNS-SD records; failures of servers must take nothing away.

Change: membership/browse asks PTR, SRV, TXT and addresses with random ids, checked answers, EDNS, TCP after truncation, clamped TTLs, refresh at 80% with jitter, negative answers as the SOA says, a budget, and pauses that grow; what an answer brings along is used where it belongs. standin/dns serves a zone with faults by script.

The router does not use it yet.

--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -14,6 +14,7 @@
 //! The rules, by number ([`Rule`] names the one that decided), are written out in `docs/design/membership.md`.
 #![forbid(unsafe_code)]
 
+pub mod browse;
 mod members;
 pub mod wheel;
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! | --- | --- |
 //! | [`group`] | a group of instances: who leads, what was written, which keys are remembered, and the ledger |
 //! | [`instance`] | one instance on a socket: simple and extended queries, acts, and faults at named stages |
+//! | [`dns`] | service records over UDP and TCP, with faults by script |
 //! | [`discovery`] | the list of instances over HTTP |
 //! | [`process`] | the router as a process, with its configuration, log and signals |
 //! | [`client`] | a client that writes and reads whole messages |
@@ -16,6 +17,7 @@
 
 pub mod client;
 pub mod discovery;
+pub mod dns;
 pub mod group;
 pub mod instance;
 pub mod process;
