Find members from service records and the roster together, and let operators see who says what

Need: the router believed one list. Operations want DNS-SD records beside the roster, and to stay right when they disagree or fall silent.

SIGHUP adds and removes services. config, roster and shared no longer import each other in a circle. Off by default: without dns_sd the roster speaks to the decider as before.

--- a/membership/src/members.rs
+++ b/membership/src/members.rs
@@ -175,6 +175,8 @@
         member: Arc<str>,
         /// What the list says of it.
         view: View,
+        /// It was not in the list before.
+        is_new: bool,
     },
     /// The member is not in the list any more.
     Gone {
@@ -404,6 +406,11 @@
         all
     }
 
+    /// The rule that decided of a member.
+    pub fn rule(&self, member: &str) -> Option<Rule> {
+        self.members.get(member)?.rule
+    }
+
     /// Since when a source has not been heard; none: it has, or is not known.
     pub fn silent_since(&self, source: Source) -> Option<Time> {
         self.sources.get(&source)?.silent
@@ -814,10 +821,11 @@
             (Some(_), None) => self.counts.went += 1,
             _ => {}
         }
+        let is_new = m.listed.is_none();
         m.listed.clone_from(&view);
         let member = id.clone();
         changes.push(match view {
-            Some(view) => Change::Listed { member, view },
+            Some(view) => Change::Listed { member, view, is_new },
             None => Change::Gone { member },
         });
     }
--- a/membership/tests/browse.rs
+++ b/membership/tests/browse.rs
@@ -89,7 +89,7 @@
     fn apply(&mut self, changes: Vec<Change>) {
         for change in changes {
             match change {
-                Change::Listed { member, view } => drop(self.list.insert(member.to_string(), view)),
+                Change::Listed { member, view, .. } => drop(self.list.insert(member.to_string(), view)),
                 Change::Gone { member } => drop(self.list.remove(&*member)),
             }
         }
--- a/membership/tests/reference.rs
+++ b/membership/tests/reference.rs
@@ -300,7 +300,7 @@
             members.on_due(now, &mut changes);
             for change in changes.drain(..) {
                 match change {
-                    Change::Listed { member, view } => drop(list.insert(member, view)),
+                    Change::Listed { member, view, .. } => drop(list.insert(member, view)),
                     Change::Gone { member } => drop(list.remove(&member)),
                 }
             }
--- a/pgwire/src/code.rs
+++ b/pgwire/src/code.rs
@@ -36,3 +36,5 @@
 pub const BEHIND: &str = "72000";
 /// The type of a parameter is told nowhere.
 pub const NO_TYPE: &str = "42P18";
+/// The server is going away, or not there yet.
+pub const LEAVING: &str = "57P03";
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -25,6 +25,12 @@
         /// The file
         file: PathBuf,
     },
+    /// Prints what a running router knows of its members, and who says so
+    Members {
+        /// Its socket, as `members_socket` in its settings names it
+        #[arg(long, value_name = "PATH")]
+        socket: PathBuf,
+    },
     /// Prints the version
     Version,
 }
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,12 +1,13 @@
 //! The configuration: `RELAY_CONFIG`, overridden by the other variables. Read again on SIGHUP, the file's
 //! `discovery` counts before the variable, which tells where discovery was when the process started.
 
-use crate::edge::Edge;
+use crate::edge::{Edge, EdgeError};
 use crate::exchange::Listed;
-use crate::roster;
+use crate::list::{self, ListError};
 use reelrill_settings::Site;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -20,8 +21,10 @@
     Settings { path: String, what: String },
     #[error("{path}: {key} is missing or is no address")]
     Address { path: String, key: &'static str },
+    #[error(transparent)]
+    Edge(#[from] EdgeError),
     #[error("{path}: known: {source}")]
-    Known { path: String, source: roster::ListError },
+    Known { path: String, source: ListError },
 }
 
 #[derive(Debug)]
@@ -39,14 +42,18 @@
     pub site: Site,
     /// The project's own settings.
     pub edge: Edge,
+    /// The file that they are read from.
+    edge_path: Option<PathBuf>,
     /// The settings as they stand in the file.
     settings: Value,
 }
 
 impl Config {
-    pub fn load(edge: Edge) -> Result<Config, ConfigError> {
+    /// `edge` was read from `edge_path`, if there is such a file.
+    pub fn load(edge: Edge, edge_path: Option<PathBuf>) -> Result<Config, ConfigError> {
         let path = Config::path()?;
-        Config::read(&path, &Config::file(&path)?, edge, |name| std::env::var(name).ok())
+        let config = Config::read(&path, &Config::file(&path)?, edge, |name| std::env::var(name).ok())?;
+        Ok(Config { edge_path, ..config })
     }
 
     /// A file by itself, whatever the environment says.
@@ -62,7 +69,8 @@
             Some(named) => named.as_str().unwrap_or_default().to_owned(),
             None => self.discovery.to_string(),
         };
-        Config::read(&path, &value, self.edge.clone(), |name| match name {
+        let edge = self.edge_path.as_deref().map_or_else(|| Ok(self.edge.clone()), Edge::load)?;
+        Config::read(&path, &value, edge, |name| match name {
             "RELAY_DISCOVERY" => Some(discovery.clone()),
             _ => std::env::var(name).ok(),
         })
@@ -111,7 +119,7 @@
         let known = match value.get("known").filter(|k| !k.is_null()) {
             Some(known) => {
                 let wrong = |source| ConfigError::Known { path: path.clone(), source };
-                let list = roster::read_list(known, &site.zones).map_err(wrong)?;
+                let list = list::read_list(known, &site.zones).map_err(wrong)?;
                 (Some(list.version), list.entries)
             }
             None => (None, Vec::new()),
@@ -128,6 +136,7 @@
             sockets: usize::try_from(sockets).unwrap_or(1024).max(64),
             known,
             edge,
+            edge_path: None,
             site,
             settings,
         })
--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -38,6 +38,8 @@
     prepared, reprepared,
     /// Clients' requests to call something off, and those that named an open request.
     cancel_requests, cancels,
+    /// Members that came into the list and left it, where it has several sources; queries for service records.
+    members_came, members_went, dns_queries,
     /// Connections to instances, probes, and calls to discovery.
     dials, dial_failures, probes, list_calls, list_failures,
 }
--- a/router/src/edge.rs
+++ b/router/src/edge.rs
@@ -4,6 +4,7 @@
 use reelrill_pgwire::oid;
 use reelrill_statements::account::Limits;
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Why a file of settings can't be used: always the file, and where it can be told, line, column and field.
@@ -21,6 +22,60 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Edge {
     pub extended: Extended,
+    pub discovery: Discovery,
+    /// Where `reelrill members` asks; none: nowhere.
+    pub members_socket: Option<PathBuf>,
+}
+
+/// The sources of members.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// The platform's list.
+    pub roster: bool,
+    /// How long a member's own answer vouches for it, in seconds.
+    pub vouch_s: u64,
+    /// Service records; none: they are not used.
+    pub dns_sd: Option<DnsSd>,
+}
+
+impl Default for Discovery {
+    fn default() -> Discovery {
+        Discovery { roster: true, vouch_s: 30, dns_sd: None }
+    }
+}
+
+/// Service records. Each service is a source of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DnsSd {
+    pub servers: Vec<SocketAddr>,
+    pub services: Vec<String>,
+    pub domain: String,
+    #[serde(default = "DnsSd::ttl_floor_ms")]
+    pub ttl_floor_ms: u64,
+    #[serde(default = "DnsSd::ttl_ceiling_ms")]
+    pub ttl_ceiling_ms: u64,
+    #[serde(default = "DnsSd::timeout_ms")]
+    pub timeout_ms: u64,
+    /// Queries a second, for each service.
+    #[serde(default = "DnsSd::budget")]
+    pub budget: u32,
+}
+
+impl DnsSd {
+    fn ttl_floor_ms() -> u64 {
+        1000
+    }
+    fn ttl_ceiling_ms() -> u64 {
+        60_000
+    }
+    fn timeout_ms() -> u64 {
+        500
+    }
+    fn budget() -> u32 {
+        100
+    }
 }
 
 /// Whether clients may use extended queries, and how instances are asked then.
@@ -150,6 +205,32 @@
         if l.value_bytes < 64 * 1024 {
             return wrong("extended.limits.value_bytes", "must hold one value, 65536 bytes");
         }
+        let d = &edge.discovery;
+        if !d.roster && d.dns_sd.is_none() {
+            return wrong("discovery", "needs a source: roster or dns_sd");
+        }
+        if let Some(dns) = &d.dns_sd {
+            let checks = [
+                ("discovery.dns_sd.servers", !dns.servers.is_empty(), "must name a server"),
+                ("discovery.dns_sd.services", !dns.services.is_empty(), "must name a service"),
+                ("discovery.dns_sd.services", dns.services.len() <= 64, "must be at most 64"),
+                ("discovery.dns_sd.ttl_floor_ms", dns.ttl_floor_ms >= 100, "must be at least 100"),
+                (
+                    "discovery.dns_sd.ttl_ceiling_ms",
+                    dns.ttl_ceiling_ms >= dns.ttl_floor_ms,
+                    "is below the floor",
+                ),
+                (
+                    "discovery.dns_sd.timeout_ms",
+                    (10..=10_000).contains(&dns.timeout_ms),
+                    "must be 10 to 10000",
+                ),
+                ("discovery.dns_sd.budget", (1..=10_000).contains(&dns.budget), "must be 1 to 10000"),
+            ];
+            if let Some((field, _, what)) = checks.into_iter().find(|c| !c.1) {
+                return wrong(field, what);
+            }
+        }
         Ok(edge)
     }
 }
@@ -186,6 +267,9 @@
     #[case("extended:\n  limits:\n    reads: -1\n", &["extended.limits.reads", "line 3"])]
     #[case("extended:\n  limits:\n    reads: 0\n", &["extended.limits.reads", "at least 1"])]
     #[case("extended: [\n", &["line"])]
+    #[case("discovery: {dns_sd: {servers: [], services: [x], domain: x}}", &["discovery.dns_sd.servers"])]
+    #[case("discovery:\n  dns_sd:\n    servers: [x]\n", &["discovery.dns_sd.servers[0]", "line 3"])]
+    #[case("discovery: {roster: false}", &["needs a source"])]
     fn what_is_wrong_is_named(#[case] text: &str, #[case] wanted: &[&str]) {
         let said = load(text).unwrap_err();
         assert!(wanted.iter().all(|w| said.contains(w)), "{said}");
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -7,10 +7,13 @@
 mod config;
 mod counters;
 mod decider;
+mod directory;
 mod edge;
 mod exchange;
 mod http;
+mod list;
 mod log;
+mod members;
 mod peer;
 mod roster;
 mod shared;
@@ -42,6 +45,8 @@
     Settings(#[from] reelrill::SettingsError),
     #[error("{0}: {1}")]
     Listen(SocketAddr, std::io::Error),
+    #[error(transparent)]
+    Directory(#[from] directory::DirectoryError),
     #[error("signals: {0}")]
     Signals(std::io::Error),
 }
@@ -64,6 +69,10 @@
             }
             Err(e) => wrong(&e, ExitCode::from(WRONG)),
         },
+        cli::Command::Members { socket } => match members::print(&socket) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => wrong(&format_args!("{}: {e}", socket.display()), ExitCode::FAILURE),
+        },
         cli::Command::Version => {
             println!("reelrill {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
@@ -73,7 +82,7 @@
 
 /// Serves until the router is told to end. An error comes before anything has been served.
 fn serve(cli: &cli::Cli) -> Result<ExitCode, cli::CheckError> {
-    let config = config::Config::load(cli.settings()?)?;
+    let config = config::Config::load(cli.settings()?, cli.edge.clone())?;
     let (log, _flush) = log::start(&config.name);
     Ok(match start(config, &log) {
         Ok(()) => ExitCode::SUCCESS,
@@ -99,16 +108,24 @@
     let executor = Rc::new(LocalExecutor::new());
     let (decider, inbox) = async_channel::bounded(MAILBOX);
     let (calls, asked) = async_channel::bounded(4);
-    let shared = Shared::new(config, log.clone(), decider);
-    let (place, places) = async_channel::bounded(1);
+    let (told, news) = async_channel::bounded(MAILBOX);
+    let told = config.edge.discovery.dns_sd.is_some().then_some(told);
+    let shared = Shared::new(config, log.clone(), decider, told);
+    let (place, places) = async_channel::bounded(4);
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
     let signals = signals.map_err(StartError::Signals)?;
-    let decider = decider::Decider::new(shared.clone(), executor.clone(), calls)?;
+    let decider = decider::Decider::new(shared.clone(), executor.clone(), calls.clone())?;
+    let directory = directory::Directory::new(&shared, &executor, calls, news)?;
     let listener = listener(address).map_err(|e| StartError::Listen(address, e))?;
     let bound = listener.get_ref().local_addr().unwrap_or(address);
     info!(log, "listening"; "address" => %bound, "instances" => shared.config.known.1.len());
     executor.spawn(decider.run(inbox)).detach();
-    executor.spawn(roster::run(shared.clone(), asked, places)).detach();
+    if let Some(directory) = directory {
+        executor.spawn(directory.run()).detach();
+    }
+    if shared.config.edge.discovery.roster {
+        executor.spawn(roster::run(shared.clone(), asked, places)).detach();
+    }
     executor.spawn(client::listen(shared.clone(), executor.clone(), listener)).detach();
     async_io::block_on(executor.run(or(mind(&shared, signals, place), until_ended(&shared))));
     info!(log, "counters"; "all" => %shared.counters);
@@ -141,8 +158,18 @@
     if !kept.is_empty() {
         warn!(shared.log, "a change takes effect at the next start"; "of" => kept.join(", "));
     }
-    // The roster ends last; without it there is nobody to tell.
-    let _ = place.send(new.discovery).await;
+    // Without a roster there is nobody to tell.
+    let _ = place.try_send(new.discovery);
+    if new.edge.extended != shared.config.edge.extended {
+        warn!(shared.log, "a change takes effect at the next start"; "of" => "extended");
+    }
+    match &shared.directory {
+        Some(directory) => drop(directory.send(directory::News::Settings(new.edge.discovery)).await),
+        None if new.edge.discovery != shared.config.edge.discovery => {
+            warn!(shared.log, "a change takes effect at the next start"; "of" => "discovery");
+        }
+        None => {}
+    }
 }
 
 /// Waits for SIGTERM, and then until the router may end.
--- a/router/src/peer/link.rs
+++ b/router/src/peer/link.rs
@@ -22,6 +22,8 @@
 
 /// How long an answer that has begun may pause.
 const STALLED: Duration = Duration::from_millis(100);
+/// How often a connection passes on that its member answers.
+const VOUCH: Span = 1_000_000_000;
 
 pub struct Link {
     shared: Rc<Shared>,
@@ -34,6 +36,8 @@
     reason: CloseReason,
     /// The statements prepared here.
     prepared: Prepared,
+    /// When its word was last passed on.
+    vouched: Time,
     _slot: Slot,
 }
 
@@ -235,6 +239,7 @@
             endpoint,
             reason: CloseReason::DialFailed,
             prepared: Prepared::new(limit),
+            vouched: 0,
             _slot: slot,
         };
         let mut hello = Vec::new();
@@ -243,6 +248,9 @@
         loop {
             match frame::within(link.buffer.bytes(), frame::LARGEST_WORD) {
                 Ok(Some((b'E', body, _))) => {
+                    if backend::error_code(body) == Some(code::LEAVING) {
+                        link.shared.vouch(&link.member, true);
+                    }
                     let ending = backend::error_code(body).map_or(Ending::ConnectFailed, ending_of);
                     link.reason = CloseReason::TurnedAway;
                     return Err(if ending == Ending::Full { ending } else { Ending::ConnectFailed });
@@ -375,16 +383,31 @@
             };
             match step {
                 Step::More => {}
-                Step::Ready => return Ok(response),
+                Step::Ready => {
+                    self.vouch(response.code.as_deref() == Some(code::LEAVING));
+                    return Ok(response);
+                }
                 Step::Stray => break (CloseReason::Spoilt, Fault::Spoilt),
             }
         };
         self.reason = fault.0;
+        if response.is_whole() {
+            self.vouch(response.code.as_deref() == Some(code::LEAVING));
+        }
         // A whole answer needs no ReadyForQuery, and a fatal error has none; what follows it spoils only the
         // connection.
         if response.is_whole() { Ok(response) } else { Err(fault.1) }
     }
 
+    /// Passes on that the member answers for itself: at once that it leaves, else now and then.
+    fn vouch(&mut self, leaving: bool) {
+        let now = self.shared.clock.now();
+        if leaving || now.saturating_sub(self.vouched) > VOUCH {
+            self.vouched = now;
+            self.shared.vouch(&self.member, leaving);
+        }
+    }
+
     /// Reads more of a response. Once its first byte is there, the rest must not take long: an answer whose
     /// length does not fit would otherwise hold its request until the client gives up.
     async fn more(&mut self, so_far: &Response) -> io::Result<usize> {
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -1,18 +1,19 @@
 //! The list's actor: asks discovery when the decider says so, keeps the watch going, and tells what comes.
 
 use crate::counters::count;
-use crate::exchange::{Listed, Message};
+use crate::directory::News;
+use crate::exchange::Message;
 use crate::http::{Connection, HttpError};
+use crate::list::{List, ListError, read_list};
 use crate::log::CloseReason;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::future::or;
-use reelrill::{Entry, ListKind, State};
-use serde_json::Value;
+use reelrill::ListKind;
 use slog::{debug, info, o, warn};
 use std::cell::Cell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,9 +37,9 @@
 }
 
 #[derive(Debug, thiserror::Error)]
-pub enum ListError {
-    #[error("{0}: missing or wrong")]
-    Field(&'static str),
+enum CallError {
+    #[error(transparent)]
+    List(#[from] ListError),
     #[error("the list is no JSON: {0}")]
     Json(#[from] serde_json::Error),
     #[error("discovery: {0}")]
@@ -47,53 +48,6 @@
     Silent,
 }
 
-/// One answer of discovery.
-#[derive(Debug)]
-pub struct List {
-    pub version: u64,
-    pub whole: bool,
-    pub entries: Vec<Listed>,
-}
-
-/// Reads a list in discovery's form.
-pub fn read_list(value: &Value, zones: &[String]) -> Result<List, ListError> {
-    let targets = value.get("targets").and_then(Value::as_array).ok_or(ListError::Field("targets"))?;
-    Ok(List {
-        version: value.get("rev").and_then(Value::as_u64).ok_or(ListError::Field("rev"))?,
-        whole: value.get("all").and_then(Value::as_bool).ok_or(ListError::Field("all"))?,
-        entries: targets.iter().map(|t| read_target(t, zones)).collect::<Result<_, _>>()?,
-    })
-}
-
-fn read_target(target: &Value, zones: &[String]) -> Result<Listed, ListError> {
-    let text = |key: &'static str| target.get(key).and_then(Value::as_str).ok_or(ListError::Field(key));
-    let state = match text("state")? {
-        "ready" => State::Serving,
-        "draining" => State::Draining,
-        "gone" => State::Gone,
-        _ => return Err(ListError::Field("state")),
-    };
-    let endpoint = match text("endpoint").map(str::parse) {
-        Ok(Ok(endpoint)) => endpoint,
-        // One that is gone is dialled no more.
-        _ if state == State::Gone => SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
-        _ => return Err(ListError::Field("endpoint")),
-    };
-    let zone = text("az").ok().and_then(|az| zones.iter().position(|z| z == az)).unwrap_or(0);
-    let group = target.get("pod_group").and_then(Value::as_u64).and_then(|g| u32::try_from(g).ok());
-    let started_ms = target.get("boot_ms").and_then(Value::as_f64).unwrap_or(0.0);
-    let entry = Entry {
-        member: text("uid")?.into(),
-        started: (started_ms.max(0.0) as u64).saturating_mul(1_000_000),
-        primary: target.get("part").and_then(Value::as_str) == Some("master"),
-        state,
-        weight: target.get("capacity_hint").and_then(Value::as_f64).unwrap_or(1.0),
-        group: group.ok_or(ListError::Field("pod_group"))?,
-        zone: zone as u32,
-    };
-    Ok(Listed { entry, endpoint })
-}
-
 struct Roster {
     shared: Rc<Shared>,
     discovery: Cell<SocketAddr>,
@@ -103,7 +57,7 @@
 }
 
 enum Next {
-    Answered(Result<List, ListError>),
+    Answered(Result<List, CallError>),
     Asked(Call),
     /// The configuration names discovery here.
     At(SocketAddr),
@@ -147,9 +101,9 @@
     }
 }
 
-async fn silent<T>(after: Duration) -> Result<T, ListError> {
+async fn silent<T>(after: Duration) -> Result<T, CallError> {
     Timer::after(after).await;
-    Err(ListError::Silent)
+    Err(CallError::Silent)
 }
 
 impl Roster {
@@ -166,7 +120,7 @@
         }
     }
 
-    async fn make(&self, call: Call) -> Result<List, ListError> {
+    async fn make(&self, call: Call) -> Result<List, CallError> {
         match call {
             // Answered at once, changes or none: the brain waits for a word on its call.
             Call::Subscribe => self.call(&self.watch_path(NOW), NOW).await,
@@ -182,7 +136,7 @@
     }
 
     /// One call that waits for changes.
-    async fn watch(&self) -> Result<List, ListError> {
+    async fn watch(&self) -> Result<List, CallError> {
         let began = self.shared.clock.now();
         let answer = self.call(&self.watch_path(WATCH), WATCH).await?;
         let waited = Duration::from_nanos(self.shared.clock.now().saturating_sub(began));
@@ -194,7 +148,7 @@
     }
 
     /// One call, on the kept-alive connection if there is one.
-    async fn call(&self, path: &str, wait: Duration) -> Result<List, ListError> {
+    async fn call(&self, path: &str, wait: Duration) -> Result<List, CallError> {
         count(&self.shared.counters.list_calls);
         let mut connection = match self.connection.take() {
             Some(kept) => kept,
@@ -217,10 +171,11 @@
         } else {
             connection.end(CloseReason::Eof);
         }
-        read_list(&serde_json::from_slice(&body)?, &self.shared.config.site.zones)
+        Ok(read_list(&serde_json::from_slice(&body)?, &self.shared.config.site.zones)?)
     }
 
-    async fn tell(&self, answer: Result<List, ListError>) {
+    async fn tell(&self, answer: Result<List, CallError>) {
+        let version = answer.as_ref().map_or(0, |list| list.version);
         let (kind, listed) = match answer {
             Ok(list) => {
                 self.version.set(Some(list.version));
@@ -233,7 +188,11 @@
                 (ListKind::Failed, Vec::new())
             }
         };
-        // The decider ends last; without it there is nobody to tell.
-        let _ = self.shared.decider.send(Message::List { kind, listed }).await;
+        // Where there are other sources, the directory makes the one list of all. The decider ends last; without
+        // it there is nobody to tell.
+        match &self.shared.directory {
+            Some(directory) => drop(directory.send(News::Roster { kind, listed, version }).await),
+            None => drop(self.shared.decider.send(Message::List { kind, listed }).await),
+        }
     }
 }
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -3,10 +3,11 @@
 use crate::buffer::Memory;
 use crate::config::Config;
 use crate::counters::Counters;
+use crate::directory::News;
 use crate::edge::Mode;
 use crate::exchange::Message;
 use event_listener::{Event, IntoNotification as _};
-use reelrill::Time;
+use reelrill::{MemberId, Time};
 use reelrill_statements::account::Accounts;
 use reelrill_statements::admit::Catalog;
 use reelrill_statements::plan::Common;
@@ -208,6 +209,8 @@
     /// When a connection or a request last came in.
     pub last_arrival: Cell<Time>,
     pub decider: async_channel::Sender<Message>,
+    /// Where the roster's word goes, and what members say of themselves, if there are other sources.
+    pub directory: Option<async_channel::Sender<News>>,
     /// What the buffers of all connections may grow to.
     pub memory: Rc<Memory>,
     /// Where bytes go that nobody wants; one for all connections.
@@ -288,7 +291,12 @@
 const SCRATCH: usize = 64 * 1024;
 
 impl Shared {
-    pub fn new(config: Config, log: Logger, decider: async_channel::Sender<Message>) -> Rc<Shared> {
+    pub fn new(
+        config: Config,
+        log: Logger,
+        decider: async_channel::Sender<Message>,
+        directory: Option<async_channel::Sender<News>>,
+    ) -> Rc<Shared> {
         let most = config.sockets - SPARE;
         let for_clients = most * CLIENTS.0 / CLIENTS.1;
         let clock = Clock::new();
@@ -312,6 +320,7 @@
             last_arrival: Cell::new(clock.now()),
             clock,
             decider,
+            directory,
             scratch: RefCell::new(vec![0; SCRATCH]),
             requests: Cell::new(0),
             common,
@@ -319,6 +328,13 @@
         })
     }
 
+    /// A member answered for itself. A full mailbox loses nothing: it will answer again.
+    pub fn vouch(&self, member: &MemberId, leaving: bool) {
+        if let Some(directory) = &self.directory {
+            let _ = directory.try_send(News::Answered { member: member.clone(), leaving });
+        }
+    }
+
     /// A name for a request that no other has.
     pub fn next_request(&self) -> u64 {
         self.requests.set(self.requests.get() + 1);
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! What the tests share: the real program, and stand-ins of all that it meets.
+#![allow(dead_code)]
 
-pub use reelrill_standin::client::{parse, query, run, sync};
 pub use reelrill_standin::*;
 use serde_json::Value;
 
--- a/router/tests/extended.rs
+++ b/router/tests/extended.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use reelrill_pgwire::frontend::{self, Object};
 use reelrill_pgwire::{Format, oid};
+use reelrill_standin::client::{parse, query, run, sync};
 use rstest::rstest;
 use std::time::Duration;
 
--- a/standin/src/process.rs
+++ b/standin/src/process.rs
@@ -91,6 +91,14 @@
         Router { child, address, log, config, dir }
     }
 
+    /// Replaces the router's own settings and has it read them again.
+    pub fn reload_edge(&self, edge: &str) {
+        let (new, path) = (self.dir.path().join("new.yaml"), self.dir.path().join("edge.yaml"));
+        std::fs::write(&new, edge).expect("settings");
+        std::fs::rename(new, path).expect("settings");
+        self.signal("HUP");
+    }
+
     /// The number of its process.
     pub fn id(&self) -> u32 {
         self.child.id()
