--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 
 mod extended;
 mod figures;
+mod membership;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
@@ -37,6 +38,8 @@
 enum Subsystem {
     /// Extended queries
     Extended,
+    /// Members from service records and the roster together
+    Membership,
 }
 
 fn main() -> anyhow::Result<ExitCode> {
@@ -53,6 +56,7 @@
     let Command::Measure { name, quick } = cli.command;
     let report = match name {
         Subsystem::Extended => extended::measure(&router.display().to_string(), quick)?,
+        Subsystem::Membership => membership::measure(&router.display().to_string(), quick)?,
     };
     print!("{report}");
     println!("{}", serde_json::to_string(&report)?);
--- a/membership/src/members.rs
+++ b/membership/src/members.rs
@@ -249,6 +249,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct Member {
+    /// Its number among all that ever were: shorter to compare than its name.
+    serial: u64,
     claims: Vec<Held>,
     drain: Option<Binding>,
     gone: Option<Binding>,
@@ -265,7 +267,8 @@
     judged: Option<Rule>,
     /// The endpoint of the claim that counts.
     best: Option<SocketAddr>,
-    timer: Option<Handle>,
+    /// When to look at it again.
+    timer: Option<(Handle, Time)>,
 }
 
 #[derive(Debug, Clone)]
@@ -348,10 +351,13 @@
     /// Which members have claims of an endpoint, or were listed there last.
     endpoints: HashMap<SocketAddr, Vec<Arc<str>>>,
     /// The members in service, by group and tier.
-    tiers: HashMap<u32, BTreeMap<u16, HashSet<Arc<str>>>>,
+    tiers: HashMap<u32, BTreeMap<(u16, u64), Arc<str>>>,
+    /// Members so far.
+    serial: u64,
     wheel: Wheel<Arc<str>>,
     /// Members whose claims differ in what the list would say.
     disputed: HashSet<Arc<str>>,
+    contradicted: Option<Arc<str>>,
     counts: Counts,
 }
 
@@ -368,8 +374,10 @@
             names: HashMap::new(),
             endpoints: HashMap::new(),
             tiers: HashMap::new(),
+            serial: 0,
             wheel: Wheel::new(now),
             disputed: HashSet::new(),
+            contradicted: None,
             counts: Counts::default(),
         }
     }
@@ -379,6 +387,11 @@
         self.counts
     }
 
+    /// The member of which two sources last contradicted each other.
+    pub fn contradicted(&self) -> Option<&Arc<str>> {
+        self.contradicted.as_ref()
+    }
+
     /// How many members are kept in mind, listed or not.
     pub fn len(&self) -> usize {
         self.members.len()
@@ -565,11 +578,18 @@
         let given = before
             .filter(|before| *before != id)
             .and_then(|before| Some((self.unclaim(source, &name, &before)?.claim.endpoint, before)));
-        let m = self.members.entry(id.clone()).or_default();
+        let serial = &mut self.serial;
+        let m = self.members.entry(id.clone()).or_insert_with(|| {
+            *serial += 1;
+            Member { serial: *serial, ..Member::default() }
+        });
         let contradicts = |h: &Held| h.source != source && !h.is_stale && h.claim.word != claim.word;
         let is_news =
             !m.claims.iter().any(|h| h.source == source && h.name == name && h.claim.word == claim.word);
-        self.counts.contradicted += u64::from(is_news && m.claims.iter().any(contradicts));
+        if is_news && m.claims.iter().any(contradicts) {
+            self.counts.contradicted += 1;
+            self.contradicted = Some(id.clone());
+        }
         m.bind(now, source, kind, &claim, self.settings.drains_hold);
         let endpoint = claim.endpoint;
         let is_stale = claim.until.is_some_and(|until| until <= now);
@@ -583,7 +603,11 @@
                 }
                 *old = held;
             }
-            None => m.claims.push(held),
+            None => {
+                // Most members have one claim of each source: room for more would be their largest part.
+                m.claims.reserve_exact(1);
+                m.claims.push(held);
+            }
         }
         self.enter(endpoint, &id, now, changes);
         if let Some(old) = moved {
@@ -600,7 +624,7 @@
 
     /// A member has a claim of an endpoint. Nameless ones that stood for it are the same member.
     fn enter(&mut self, endpoint: SocketAddr, id: &Arc<str>, now: Time, changes: &mut Vec<Change>) {
-        let at = self.endpoints.entry(endpoint).or_default();
+        let at = self.endpoints.entry(endpoint).or_insert_with(|| Vec::with_capacity(1));
         if !at.contains(id) {
             at.push(id.clone());
         }
@@ -734,7 +758,7 @@
             let differ = |h: &Held| !h.claim.counts_as(&m.claims[0].claim);
             if m.claims.iter().any(differ) {
                 self.disputed.insert(id.clone());
-            } else {
+            } else if !self.disputed.is_empty() {
                 self.disputed.remove(id);
             }
         }
@@ -750,7 +774,11 @@
     /// Those that would have an endpoint, but for the member that has it or had it. Each settles by the same order,
     /// so this ends.
     fn settle_shadows(&mut self, now: Time, endpoint: SocketAddr, id: &Arc<str>, changes: &mut Vec<Change>) {
-        let at = self.endpoints.get(&endpoint).cloned().unwrap_or_default();
+        // Nearly always a member is alone at its endpoint.
+        let at = match self.endpoints.get(&endpoint) {
+            Some(at) if at.len() > 1 || !at.contains(id) => at.clone(),
+            _ => return,
+        };
         for other in at.iter().filter(|other| *other != id) {
             let rule = self.judge(now, other).map(|j| j.0);
             if rule != self.members.get(other).and_then(|m| m.judged) {
@@ -760,24 +788,25 @@
     }
 
     fn lowest(&self, group: u32) -> Option<u16> {
-        self.tiers.get(&group)?.keys().next().copied()
+        self.tiers.get(&group)?.first_key_value().map(|((tier, _), _)| *tier)
+    }
+
+    fn serial_of(&self, id: &Arc<str>) -> u64 {
+        self.members.get(id).map_or(0, |m| m.serial)
     }
 
     fn rank(&mut self, group: u32, tier: u16, id: &Arc<str>, now: Time, changes: &mut Vec<Change>) {
         let before = self.lowest(group);
-        self.tiers.entry(group).or_default().entry(tier).or_default().insert(id.clone());
+        let serial = self.serial_of(id);
+        self.tiers.entry(group).or_default().insert((tier, serial), id.clone());
         self.retier(group, before, now, changes);
     }
 
     fn unrank(&mut self, group: u32, tier: u16, id: &Arc<str>, now: Time, changes: &mut Vec<Change>) {
         let before = self.lowest(group);
+        let serial = self.serial_of(id);
         if let Some(tiers) = self.tiers.get_mut(&group) {
-            if let Some(members) = tiers.get_mut(&tier) {
-                members.remove(id);
-                if members.is_empty() {
-                    tiers.remove(&tier);
-                }
-            }
+            tiers.remove(&(tier, serial));
             if tiers.is_empty() {
                 self.tiers.remove(&group);
             }
@@ -791,8 +820,11 @@
         if before == after {
             return;
         }
-        let of = |tier: Option<u16>| tier.and_then(|t| self.tiers.get(&group)?.get(&t).cloned());
-        let affected: Vec<Arc<str>> = [of(after), of(before)].into_iter().flatten().flatten().collect();
+        let of = |tier: Option<u16>| -> Vec<Arc<str>> {
+            let (Some(tier), Some(tiers)) = (tier, self.tiers.get(&group)) else { return Vec::new() };
+            tiers.range((tier, 0)..=(tier, u64::MAX)).map(|(_, id)| id.clone()).collect()
+        };
+        let affected: Vec<Arc<str>> = [of(after), of(before)].concat();
         for id in affected {
             if let Some((rule, view, tier)) = self.judge(now, &id) {
                 if let Some(m) = self.members.get_mut(&id) {
@@ -901,7 +933,7 @@
             if until <= now {
                 let Some(m) = self.members.remove(id) else { return };
                 self.disputed.remove(id);
-                if let Some(timer) = m.timer {
+                if let Some((timer, _)) = m.timer {
                     self.wheel.cancel(timer);
                 }
                 if let Some(last) = m.last {
@@ -943,12 +975,13 @@
 
     fn arm(&mut self, wheel: &mut Wheel<Arc<str>>, at: Option<Time>, id: &Arc<str>) {
         match (self.timer, at) {
-            (Some(timer), Some(at)) if wheel.reset(timer, at) => {}
+            (Some((_, before)), Some(at)) if before == at => {}
+            (Some((timer, _)), Some(at)) if wheel.reset(timer, at) => self.timer = Some((timer, at)),
             (timer, at) => {
-                if let Some(timer) = timer {
+                if let Some((timer, _)) = timer {
                     wheel.cancel(timer);
                 }
-                self.timer = at.map(|at| wheel.insert(at, id.clone()));
+                self.timer = at.map(|at| (wheel.insert(at, id.clone()), at));
             }
         }
     }
--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -186,6 +186,16 @@
     }
 
     async fn on_news(&mut self, now: Time, news: News, changes: &mut Vec<Change>) {
+        let before = self.members.counts().contradicted;
+        self.take(now, news, changes).await;
+        let contradicted = self.members.counts().contradicted - before;
+        if contradicted > 0 {
+            let member = self.members.contradicted().map_or("", |id| id);
+            warn!(self.shared.log, "sources contradict"; "times" => contradicted, "last" => member);
+        }
+    }
+
+    async fn take(&mut self, now: Time, news: News, changes: &mut Vec<Change>) {
         match news {
             News::Roster { kind: ListKind::Failed, .. } => {
                 self.members.handle(now, Input::Failed { source: ROSTER }, changes);
--- a/router/tests/membership.rs
+++ b/router/tests/membership.rs
@@ -55,7 +55,7 @@
 /// Guards the way from a record to a request, without a roster; and a list that comes over TCP.
 #[rstest]
 fn members_are_found_by_records_alone(
-    #[values(Manner::Helpful, Manner::Terse, Manner::Truncated)] manner: Manner,
+    #[values(Manner::Helpful, Manner::Terse, Manner::Truncated, Manner::Lossy, Manner::Slow)] manner: Manner,
 ) {
     let instance = Instance::start("master", Act::Serve);
     let server = Server::start(Zone { manner, ..zone(&[("s-1", &instance)]) });
@@ -88,7 +88,7 @@
         let drains = record("s-1", &old).with("state", Some("draining"));
         server.zone.change(|z| z.instances.insert("db-1".into(), drains));
     }
-    assert!(router.logged("state: Draining") || router.logged("Draining"));
+    assert!(router.logged("state: Draining") && router.logged("sources contradict"));
     let before = asked(&old);
     // The records are asked for again and again meanwhile, and the roster's list comes again.
     for id in 1..=30 {
--- a/standin/src/dns.rs
+++ b/standin/src/dns.rs
@@ -57,6 +57,10 @@
     Helpful,
     /// With what was asked and nothing else.
     Terse,
+    /// Every other query is lost.
+    Lossy,
+    /// Answers come after 150 ms.
+    Slow,
     /// An error: it can't.
     Fails,
     /// Nothing.
@@ -133,6 +137,7 @@
         let soa = Record::from_rdata(name(DOMAIN), 1, RData::SOA(soa));
         match self.manner {
             Manner::Silent => return None,
+            Manner::Lossy if self.queries % 2 == 1 => return None,
             Manner::Noise => return Some(b"no message at all".to_vec()),
             Manner::Loop => {
                 let mut bytes = out.to_vec().ok()?;
@@ -206,7 +211,11 @@
         std::thread::spawn(move || {
             let mut bytes = [0; 4096];
             while let Ok((len, from)) = udp.recv_from(&mut bytes) {
-                if let Some(answer) = z.change(|z| z.answer(&bytes[..len], false)) {
+                let (answer, manner) = z.change(|z| (z.answer(&bytes[..len], false), z.manner));
+                if manner == Manner::Slow {
+                    std::thread::sleep(Duration::from_millis(150));
+                }
+                if let Some(answer) = answer {
                     let _ = udp.send_to(&answer, from);
                 }
             }
--- a/standin/src/instance.rs
+++ b/standin/src/instance.rs
@@ -345,8 +345,8 @@
 
     /// Runs a request in words: a value, or an error's code and text.
     fn run(&self, text: &str) -> Result<String, (&'static str, &'static str)> {
-        std::thread::sleep(self.inner.work);
         self.inner.seen.change(|s| s.queries.push(text.to_owned()));
+        std::thread::sleep(self.inner.work);
         match &self.inner.world {
             World::Echo(_) => Ok(id_of(text)),
             World::Group(group) => group.run(&self.inner.name, text).map(|(value, _)| value),
