Find members by subtypes of a service and at IPv6 hosts, and undo a circle of modules

Need: a subtype's PTR names instances that lie outside of the subtype's own name, and they were taken for foreign records; shared and directory imported each other.

Change: instances are believed within the configured domain; what passes between the actors lies in exchange alone. The stand-in's zone answers for a subtype and for IPv6 hosts.

--- a/membership/src/browse.rs
+++ b/membership/src/browse.rs
@@ -385,7 +385,7 @@
         match key.1 {
             RecordType::PTR => {
                 let names: HashSet<Name> =
-                    instances(&records).filter(|n| self.config.service.zone_of(n)).cloned().collect();
+                    instances(&records).filter(|n| self.config.domain.zone_of(n)).cloned().collect();
                 self.counts.foreign += (records.len() - names.len()) as u64;
                 let gone: Vec<Name> = self.told.keys().filter(|n| !names.contains(*n)).cloned().collect();
                 for name in gone {
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -2,9 +2,8 @@
 //! of requests, attempt numbers, timers and deadlines. It never waits for another actor.
 
 use crate::counters::count;
-use crate::exchange::{Attempt, Ended, Incoming, Listed, Message, Reply, ReplyTo};
+use crate::exchange::{Attempt, Call, Ended, Incoming, Listed, Message, Reply, ReplyTo};
 use crate::peer::{self, Handle, Order};
-use crate::roster::Call;
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -3,9 +3,8 @@
 
 use crate::counters::count;
 use crate::edge::{Discovery, DnsSd};
-use crate::exchange::{Listed, Message};
+use crate::exchange::{Call, Listed, Message, News};
 use crate::members::{self, Question};
-use crate::roster::Call;
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -13,7 +12,7 @@
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
 use hickory_proto::rr::Name;
-use reelrill::{Entry, ListKind, MemberId, State, Time};
+use reelrill::{Entry, ListKind, State, Time};
 use reelrill_membership::browse::{Ask, Browser, Config, Output};
 use reelrill_membership::{Change, Claim, Input, Kind, Members, Removal, Settings, Source, Word};
 use slog::{info, warn};
@@ -38,18 +37,6 @@
     Socket(#[from] std::io::Error),
 }
 
-/// What goes into the directory's mailbox.
-pub enum News {
-    /// What the roster answered, and its version.
-    Roster { kind: ListKind, listed: Vec<Listed>, version: u64 },
-    /// A member answered for itself.
-    Answered { member: MemberId, leaving: bool },
-    /// What came for a query of a service; none: it could not be sent, or its connection broke.
-    Records { source: Source, query: u64, bytes: Option<Vec<u8>> },
-    /// The settings have been read again.
-    Settings(Discovery),
-}
-
 enum Next {
     News(Option<News>),
     Question(Question),
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -1,7 +1,9 @@
 //! What passes between the front, the decider, the peers and the roster: plain data that names no
 //! front protocol, so that another one can be put before the same decisions.
 
+use crate::edge::Discovery;
 use reelrill::{Ending, Entry, ListKind, MemberId, RequestId, Span, Standing, Time};
+use reelrill_membership::Source;
 use reelrill_pgwire::Format;
 use reelrill_statements::bound::Ask;
 use std::net::SocketAddr;
@@ -109,3 +111,22 @@
     /// Closed once the decider has given the attempt up.
     pub given_up: async_channel::Receiver<()>,
 }
+
+/// What the decider asks of the roster.
+#[derive(Debug, Clone, Copy)]
+pub enum Call {
+    Subscribe,
+    Fetch,
+}
+
+/// What goes into the directory's mailbox.
+pub enum News {
+    /// What the roster answered, and its version.
+    Roster { kind: ListKind, listed: Vec<Listed>, version: u64 },
+    /// A member answered for itself.
+    Answered { member: MemberId, leaving: bool },
+    /// What came for a query of a service; none: it could not be sent, or its connection broke.
+    Records { source: Source, query: u64, bytes: Option<Vec<u8>> },
+    /// The settings have been read again.
+    Settings(Discovery),
+}
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -164,7 +164,7 @@
         warn!(shared.log, "a change takes effect at the next start"; "of" => "extended");
     }
     match &shared.directory {
-        Some(directory) => drop(directory.send(directory::News::Settings(new.edge.discovery)).await),
+        Some(directory) => drop(directory.send(exchange::News::Settings(new.edge.discovery)).await),
         None if new.edge.discovery != shared.config.edge.discovery => {
             warn!(shared.log, "a change takes effect at the next start"; "of" => "discovery");
         }
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -1,8 +1,7 @@
 //! The list's actor: asks discovery when the decider says so, keeps the watch going, and tells what comes.
 
 use crate::counters::count;
-use crate::directory::News;
-use crate::exchange::Message;
+use crate::exchange::{Call, Message, News};
 use crate::http::{Connection, HttpError};
 use crate::list::{List, ListError, read_list};
 use crate::log::CloseReason;
@@ -29,13 +28,6 @@
 /// one within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// What the decider asks of the roster.
-#[derive(Debug, Clone, Copy)]
-pub enum Call {
-    Subscribe,
-    Fetch,
-}
-
 #[derive(Debug, thiserror::Error)]
 enum CallError {
     #[error(transparent)]
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -3,9 +3,8 @@
 use crate::buffer::Memory;
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::directory::News;
 use crate::edge::Mode;
-use crate::exchange::Message;
+use crate::exchange::{Message, News};
 use event_listener::{Event, IntoNotification as _};
 use reelrill::{MemberId, Time};
 use reelrill_statements::account::Accounts;
--- a/standin/src/dns.rs
+++ b/standin/src/dns.rs
@@ -3,7 +3,7 @@
 
 use crate::watched::{LIMIT, Watched};
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
-use hickory_proto::rr::rdata::{A, PTR, SOA, SRV, TXT};
+use hickory_proto::rr::rdata::{A, AAAA, PTR, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -98,6 +98,8 @@
 pub const SERVICE: &str = "_postgresql._tcp.qianzhen-dc.example.org.";
 /// The domain that it lies in.
 pub const DOMAIN: &str = "qianzhen-dc.example.org.";
+/// A subtype of the service, which names the same instances (RFC 6763, 7.1).
+pub const SUBTYPE: &str = "_cargo._sub._postgresql._tcp.qianzhen-dc.example.org.";
 
 fn name(text: &str) -> Name {
     Name::from_ascii(text).expect("a name")
@@ -111,14 +113,16 @@
             let host = name(&format!("{label}.{DOMAIN}"));
             let texts = i.texts.iter().map(|(k, v)| format!("{k}={v}")).collect();
             let address = match i.endpoint.ip() {
-                IpAddr::V4(ip) => ip,
-                IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+                IpAddr::V4(ip) => RData::A(A(ip)),
+                IpAddr::V6(ip) => RData::AAAA(AAAA(ip)),
             };
             let srv = SRV::new(i.priority, i.weight, i.endpoint.port(), host.clone());
-            all.push(Record::from_rdata(name(SERVICE), i.ttl, RData::PTR(PTR(instance.clone()))));
+            for service in [SERVICE, SUBTYPE] {
+                all.push(Record::from_rdata(name(service), i.ttl, RData::PTR(PTR(instance.clone()))));
+            }
             all.push(Record::from_rdata(instance.clone(), i.ttl, RData::SRV(srv)));
             all.push(Record::from_rdata(instance, i.ttl, RData::TXT(TXT::new(texts))));
-            all.push(Record::from_rdata(host, i.ttl, RData::A(A(address))));
+            all.push(Record::from_rdata(host, i.ttl, address));
         }
         all
     }
