Keep a member's own word that it leaves while it still answers what it holds

Need: a member that says 57P03 to a new connection goes on answering on the others; each such answer lifted the drain, so new work could go to it later than 250 ms after it had told.

Change: that word binds for vouch_s after it was last said, or until a newer start is told.

--- a/membership/src/members.rs
+++ b/membership/src/members.rs
@@ -281,7 +281,7 @@
 /// What the rules are to go by.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Settings {
-    /// How long a member's own answer vouches for it.
+    /// How long a member's own answer vouches for it, and its own word that it leaves binds.
     pub vouch: Span,
     /// How long a member that nobody names is kept in mind, so that an old word about it is known for one.
     pub remember: Span,
@@ -441,6 +441,7 @@
         for id in due {
             let Some(m) = self.members.get_mut(&id) else { continue };
             m.timer = None;
+            m.own_drain = m.own_drain.filter(|at| now < at.saturating_add(self.settings.vouch));
             for held in &mut m.claims {
                 held.is_stale |= held.claim.until.is_some_and(|until| until <= now);
             }
@@ -506,8 +507,9 @@
         // The usual case, many times a second: one look-up, and nothing else to do.
         let Some(m) = self.members.get_mut(id) else { return };
         m.answered = Some(now);
-        if leaving != m.own_drain.is_some() || m.rule == Some(Rule::Unnamed) {
-            m.own_drain = leaving.then_some(now);
+        // What it still finishes it answers as ever: that does not mean that it stays.
+        if leaving || m.rule == Some(Rule::Unnamed) {
+            m.own_drain = if leaving { Some(now) } else { m.own_drain };
             self.settle(now, id, changes);
         }
     }
@@ -590,6 +592,11 @@
             self.counts.contradicted += 1;
             self.contradicted = Some(id.clone());
         }
+        let last = m.last.as_ref().map_or(0, |v| v.started);
+        if claim.started > last && m.claims.iter().all(|h| h.claim.started < claim.started) {
+            // Another process is there now.
+            m.own_drain = None;
+        }
         m.bind(now, source, kind, &claim, self.settings.drains_hold);
         let endpoint = claim.endpoint;
         let is_stale = claim.until.is_some_and(|until| until <= now);
@@ -944,7 +951,8 @@
             m.arm(&mut self.wheel, Some(until), id);
             return;
         }
-        m.arm(&mut self.wheel, stale.into_iter().chain(vouched).min(), id);
+        let own = m.own_drain.map(|at| at.saturating_add(vouch));
+        m.arm(&mut self.wheel, stale.into_iter().chain(vouched).chain(own).min(), id);
     }
 }
 
--- a/membership/tests/reference.rs
+++ b/membership/tests/reference.rs
@@ -22,7 +22,7 @@
     claims: Vec<(Uid, Held)>,
     drains: BTreeMap<Uid, Bound>,
     gone: BTreeMap<Uid, Bound>,
-    own: BTreeSet<Uid>,
+    own: BTreeMap<Uid, u64>,
     known: BTreeSet<Uid>,
     answered: BTreeMap<Uid, u64>,
     last: BTreeMap<Uid, (View, u16)>,
@@ -65,6 +65,10 @@
             (None, [only]) => only.clone(),
             _ => format!("name:{source}:{name}").into(),
         };
+        let last = self.last.get(&uid).map_or(0, |(v, _)| v.started);
+        if claim.started > last && self.of(&uid).all(|h| h.claim.started < claim.started) {
+            self.own.remove(&uid);
+        }
         let old = self.remove(source, name).filter(|(u, _)| *u == uid);
         let same = old.filter(|(_, h)| {
             Claim { version: 0, until: None, ..h.claim.clone() }
@@ -155,10 +159,8 @@
                 if self.known.contains(member) {
                     self.answered.insert(member.clone(), now);
                     if *leaving {
-                        self.own.insert(member.clone())
-                    } else {
-                        self.own.remove(member)
-                    };
+                        self.own.insert(member.clone(), now);
+                    }
                 }
             }
         }
@@ -166,6 +168,7 @@
 
     /// The whole list, judged anew.
     fn list(&mut self, now: u64) -> BTreeMap<Uid, View> {
+        self.own.retain(|_, at| now < *at + VOUCH);
         for (_, h) in &mut self.claims {
             h.is_stale |= h.claim.until.is_some_and(|u| u <= now);
         }
@@ -201,7 +204,7 @@
             if shadowed {
                 continue;
             }
-            let leaves = bound(&self.drains, uid) || self.own.contains(uid);
+            let leaves = bound(&self.drains, uid) || self.own.contains_key(uid);
             view.word = if leaves { Word::Draining } else { Word::Ready };
             list.insert(uid.clone(), (view, tier));
         }
@@ -338,3 +341,35 @@
     members.handle(2 * SECOND, Input::NoSource { source: 0 }, &mut changes);
     assert!(members.is_empty() && members.next_due().is_none());
 }
+
+/// Guards the drain that a member tells itself: what it still finishes does not lift it; a newer start does, and time.
+#[test]
+fn a_member_that_leaves_may_still_answer() {
+    let mut members = Members::new(Settings { vouch: VOUCH, ..Settings::default() }, SECOND);
+    let mut changes = Vec::new();
+    members.handle(SECOND, Input::Source { source: 1, kind: Kind::Records }, &mut changes);
+    let told = |started| {
+        let claim = Claim { started, ..Claim::new("s-1", SocketAddr::from(([127, 0, 0, 1], 1)), 1) };
+        Input::Told { source: 1, name: "n1".into(), claim }
+    };
+    let answered = |leaving| Input::Answered { member: "s-1".into(), leaving };
+    let word = |m: &Members| m.status()[0].listed.as_ref().map(|v| v.word);
+    let steps = [
+        (told(1), Word::Ready),
+        (answered(true), Word::Draining),
+        (answered(false), Word::Draining),
+        (told(1), Word::Draining),
+        (told(2), Word::Ready),
+        (answered(true), Word::Draining),
+    ];
+    let mut now = SECOND;
+    for (input, wanted) in steps {
+        now += SECOND;
+        members.handle(now, input, &mut changes);
+        assert_eq!(word(&members), Some(wanted));
+    }
+    members.on_due(now + VOUCH - TICK, &mut changes);
+    assert_eq!(word(&members), Some(Word::Draining));
+    members.on_due(now + VOUCH, &mut changes);
+    assert_eq!(word(&members), Some(Word::Ready));
+}
