Keep one timer for the query budget, and take in new services whole or not at all

Each look at a queue that waits for the budget set another timer; a wrong service name on SIGHUP left the ones before it half taken in; members_socket without dns_sd was accepted and did nothing.

Change: one such timer at a time; all names are read before anything changes; the setting is refused with its reason.

--- a/membership/src/browse.rs
+++ b/membership/src/browse.rs
@@ -142,6 +142,8 @@
     is_failing: bool,
     /// Records that are due, and wait until it can: one query at a time tells whether a server is back.
     held: HashSet<Key>,
+    /// There is a timer for what waits for the budget.
+    is_paced: bool,
     wheel: Wheel<Due>,
     next: u64,
     tokens: f64,
@@ -167,6 +169,7 @@
             told: HashMap::new(),
             is_failing: false,
             held: HashSet::new(),
+            is_paced: false,
             wheel: Wheel::new(now),
             next: 0,
             filled: now,
@@ -213,7 +216,7 @@
                         self.want(key);
                     }
                 }
-                Due::Budget => {}
+                Due::Budget => self.is_paced = false,
             }
         }
         self.pump(now, out);
@@ -338,7 +341,7 @@
             self.asked.insert(self.next, asked);
             out.push(Output::Ask(Ask { query: self.next, server: *address, over_tcp, message: bytes }));
         }
-        if !self.waiting.is_empty() {
+        if !self.waiting.is_empty() && !std::mem::replace(&mut self.is_paced, true) {
             self.wheel.insert(now.saturating_add((1e9 / budget) as Span), Due::Budget);
         }
     }
--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -261,6 +261,10 @@
 
     /// Makes the services those of the settings; one whose settings are the same goes on. Returns those that are gone.
     fn services_are(&mut self, discovery: &Discovery) -> Result<Vec<Source>, DirectoryError> {
+        // All names are read before anything changes: a wrong one must not leave half of the services behind.
+        for text in discovery.dns_sd.iter().flat_map(|d| d.services.iter().chain([&d.domain])) {
+            name(text)?;
+        }
         let mut kept = Vec::new();
         for service in discovery.dns_sd.iter().flat_map(|d| &d.services) {
             let Some(settings) = &discovery.dns_sd else { continue };
--- a/router/src/edge.rs
+++ b/router/src/edge.rs
@@ -209,6 +209,12 @@
         if !d.roster && d.dns_sd.is_none() {
             return wrong("discovery", "needs a source: roster or dns_sd");
         }
+        if edge.members_socket.is_some() && d.dns_sd.is_none() {
+            return wrong(
+                "members_socket",
+                "needs discovery.dns_sd: the roster alone has nothing more to tell",
+            );
+        }
         if let Some(dns) = &d.dns_sd {
             let checks = [
                 ("discovery.dns_sd.servers", !dns.servers.is_empty(), "must name a server"),
@@ -270,6 +276,7 @@
     #[case("discovery: {dns_sd: {servers: [], services: [x], domain: x}}", &["discovery.dns_sd.servers"])]
     #[case("discovery:\n  dns_sd:\n    servers: [x]\n", &["discovery.dns_sd.servers[0]", "line 3"])]
     #[case("discovery: {roster: false}", &["needs a source"])]
+    #[case("members_socket: /x", &["members_socket", "needs discovery.dns_sd"])]
     fn what_is_wrong_is_named(#[case] text: &str, #[case] wanted: &[&str]) {
         let said = load(text).unwrap_err();
         assert!(wanted.iter().all(|w| said.contains(w)), "{said}");
