Spread calls to discovery by the number of routers, and do not repeat one that waits

At fault: src/brain.rs on_list (phase over one shortest aim, back-off from one tick), router/src/roster.rs (SILENCE 1.8 s gave up a call that waits up to 2 s for its turn; a Subscribe was two calls; a Subscribe during a watch broke the watch off).

Now: first calls and repeats are drawn over a turn (30 ms) for each router of the tier, doubled at each failure up to the time an old list may be kept; a subscription is one call, the watch itself.

--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -9,7 +9,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::future::or;
-use reelrill::ListKind;
+use reelrill::{ListKind, Time};
 use slog::{debug, info, o, warn};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -18,11 +18,14 @@
 
 /// How long one call of the watch may wait at discovery. Each call is work for a slow service.
 const WATCH: Duration = Duration::from_secs(10);
-/// Beyond a call's own wait, silence of this length is a failed call: a cut link stays open and quiet.
-const SILENCE: Duration = Duration::from_millis(1800);
-
+/// A connection that is not made by then has failed.
+const CONNECT: Duration = Duration::from_millis(1800);
+/// Beyond a call's own wait, silence of this length is a failed call: a cut link stays open and quiet. Far longer
+/// than discovery lets a call wait for its turn (it ends one with 503, seen after 2 s): a call that is repeated while
+/// it still waits is served twice, the first time for nobody.
+const SILENCE: Duration = Duration::from_millis(5000);
 /// The wait of a call that is to be answered at once.
-const NOW: Duration = Duration::from_millis(1);
+const NOW: Duration = Duration::ZERO;
 
 /// Pause after a watch that was answered early without news; discovery takes a call for the same watch's next
 /// one within 200 ms.
@@ -46,6 +49,8 @@
     /// Taken out by a call while it runs, so that a call that is dropped half-way closes it.
     connection: Cell<Option<Connection>>,
     version: Cell<Option<u64>>,
+    /// When the latest call began.
+    began: Cell<Time>,
 }
 
 enum Next {
@@ -60,7 +65,7 @@
 /// configuration has been read again.
 pub async fn run(shared: Rc<Shared>, calls: Receiver<Call>, places: Receiver<SocketAddr>) {
     let (discovery, version) = (Cell::new(shared.config.discovery), Cell::new(shared.config.known.0));
-    let roster = Roster { shared, discovery, connection: Cell::default(), version };
+    let roster = Roster { shared, discovery, connection: Cell::default(), version, began: Cell::default() };
     let (mut watching, mut call) = (false, None);
     loop {
         let place = async {
@@ -69,7 +74,17 @@
                 Err(_) => futures_lite::future::pending().await,
             }
         };
-        let asked = async { calls.recv().await.map_or(Next::Ended, Next::Asked) };
+        let keeps = watching;
+        let asked = async {
+            loop {
+                match calls.recv().await {
+                    // The watch that runs is what is asked for: to break it off would cost another call.
+                    Ok(Call::Subscribe) if keeps => {}
+                    Ok(call) => return Next::Asked(call),
+                    Err(_) => return Next::Ended,
+                }
+            }
+        };
         let next = match call.take() {
             // A new address ends the call to the old one, which may hang or be about to close.
             Some(call) => or(place, async { Next::Answered(roster.make(call).await) }).await,
@@ -80,6 +95,10 @@
         match next {
             Next::Answered(answer) => {
                 watching = answer.is_ok();
+                // What was asked for meanwhile has its answer in this one.
+                while let Ok(asked) = calls.try_recv() {
+                    call = matches!(asked, Call::Fetch).then_some(asked).or(call);
+                }
                 roster.tell(answer).await;
             }
             Next::Asked(asked) => call = Some(asked),
@@ -114,8 +133,9 @@
 
     async fn make(&self, call: Call) -> Result<List, CallError> {
         match call {
-            // Answered at once, changes or none: the brain waits for a word on its call.
-            Call::Subscribe => self.call(&self.watch_path(NOW), NOW).await,
+            // Answered at once if the list is not the newest; else nothing is to be told. A short call first
+            // would be a second one for the same service.
+            Call::Subscribe => self.call(&self.watch_path(WATCH), WATCH).await,
             Call::Fetch => self.call("/api/targets", NOW).await,
         }
     }
@@ -142,13 +162,14 @@
     /// One call, on the kept-alive connection if there is one.
     async fn call(&self, path: &str, wait: Duration) -> Result<List, CallError> {
         count(&self.shared.counters.list_calls);
+        self.began.set(self.shared.clock.now());
         let mut connection = match self.connection.take() {
             Some(kept) => kept,
             None => {
                 let log = self.shared.log.new(o!());
                 let open =
                     async { Ok(Connection::open(self.discovery.get(), &self.shared.memory, log).await?) };
-                or(open, silent(SILENCE)).await?
+                or(open, silent(CONNECT)).await?
             }
         };
         let body = match or(async { Ok(connection.get(path).await) }, silent(wait + SILENCE)).await {
@@ -167,16 +188,18 @@
     }
 
     async fn tell(&self, answer: Result<List, CallError>) {
+        let took = self.shared.clock.now().saturating_sub(self.began.get()) / 1_000_000;
         let version = answer.as_ref().map_or(0, |list| list.version);
         let (kind, listed) = match answer {
             Ok(list) => {
                 self.version.set(Some(list.version));
-                debug!(self.shared.log, "list"; "rev" => list.version, "entries" => list.entries.len());
+                debug!(self.shared.log, "list"; "rev" => list.version, "whole" => list.whole,
+                       "entries" => list.entries.len(), "ms" => took);
                 (if list.whole { ListKind::Whole } else { ListKind::Changes }, list.entries)
             }
             Err(e) => {
                 count(&self.shared.counters.list_failures);
-                warn!(self.shared.log, "discovery call failed"; "error" => %e);
+                warn!(self.shared.log, "discovery call failed"; "error" => %e, "ms" => took);
                 (ListKind::Failed, Vec::new())
             }
         };
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -359,6 +359,28 @@
     assert!(discovery.calls.wait_for(LIMIT, again).is_some());
 }
 
+/// Guards a busy discovery: a call that waits its turn is not given up and repeated, which would be served twice.
+#[test]
+fn a_call_that_waits_its_turn_is_not_repeated() {
+    let instance = Instance::start("master", Act::Serve);
+    let discovery = Discovery::start(None);
+    discovery.manner.change(|m| *m = Manner::Silent);
+    let list = vec![target("s-1", instance.address, "ready")];
+    let router = start(&discovery, &list, 1024);
+    let calls =
+        |n: usize| discovery.calls.wait_for(Duration::from_millis(2500), |c| (c.len() >= n).then_some(()));
+    assert!(calls(1).is_some());
+    assert!(calls(2).is_none(), "repeated while it waits");
+    // Meanwhile the router serves from the list it has.
+    assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
+    discovery.list.change(|l| l.1 = Some(list.clone()));
+    discovery.manner.change(|m| *m = Manner::Proper);
+    // Its answer begins the watch: no other call comes between.
+    assert!(discovery.calls.wait_for(LIMIT, |c| (c.len() >= 2).then_some(())).is_some());
+    assert!(discovery.calls.change(|c| c[1].contains("timeout_ms=10000")));
+    assert!(!router.counters().contains(" list_failures=1"));
+}
+
 /// Guards against a busy loop: a watch that is answered at once, again and again, is slowed down, though not
 /// beyond the 200 ms after which discovery takes it for a new one.
 #[test]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,8 @@
 const RESERVE: f64 = 20.0;
 /// Spoilt answers, or broken connections, in a row and without a good answer, that tell of the member.
 const IN_A_ROW: u32 = 3;
+/// What one call may take of a slow list's service. In a queue that outlasts its calls none is served.
+const TURN: Span = 30_000_000;
 /// Mean latency, in aims, at which refusals begin, and at which all are refused.
 const SHED: (f64, f64) = (1.2, 2.1);
 
@@ -251,17 +253,23 @@
 
     // ---- the list of members ----
 
+    /// The span over which all proxies' calls to the list's one service are spread: a turn for each.
+    fn turns(&self) -> Span {
+        TURN.saturating_mul(Span::from(self.set.proxies)).max(self.tick)
+    }
+
     fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Failed {
-            // A lost subscription is renewed soon; calls that keep failing back off, at drawn times,
-            // so that many proxies do not crowd the list's one service.
-            let back = self.tick as f64 * f64::from(1u32 << self.failures.min(6)) * self.random();
-            self.subscribe_at = Some(now + 2 * back as Span);
+            // A subscription breaks for all proxies at once: each renews it at a drawn time. While calls
+            // keep failing the span grows, up to the time for which an old list may be kept.
+            let grown = self.turns().saturating_mul(1 << self.failures.min(6));
+            let span = grown.min(self.set.rules.ask_every.max(self.tick));
+            self.subscribe_at = Some(now + (self.random() * span as f64) as Span);
             self.failures += 1;
             return;
         }
         if kind == ListKind::Remembered {
-            let phase = (self.random() * self.min_aim) as Span;
+            let phase = (self.random() * self.turns() as f64) as Span;
             self.subscribe_at = self.set.must_subscribe.then_some(now + phase);
         } else {
             self.failures = 0;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -298,3 +298,52 @@
     assert!(sends <= 2 * writes, "{sends} sends of {writes} writes");
     assert!(sends > writes / 2, "held back for nothing");
 }
+
+/// A hundred proxies on a list's service that serves one call in 25 ms, as a slow one does, and ends one that has
+/// waited 2 s in its queue. Calls that come together all wait too long, and repeated at once do so for ever.
+#[test]
+fn a_hundred_proxies_find_the_list_though_its_service_is_slow() {
+    let mut set = settings();
+    (set.must_subscribe, set.proxies) = (true, 100);
+    for seed in 0..3 {
+        let mut hosts: Vec<Host> = (0..100).map(|i| Host::seeded(set.clone(), seed * 1000 + i)).collect();
+        let mut queue: std::collections::VecDeque<(u64, usize)> = Default::default();
+        let (mut told, mut calls, mut in_vain, mut rests) = ([false; 100], 0, 0, 0);
+        for ms in 0..12_000 {
+            // At 6 s the service goes down for a moment: every watch breaks in the same instant.
+            if ms == 6000 {
+                assert!(told.iter().all(|t| *t), "seed {seed}: {in_vain} of {calls} calls in vain");
+                told = [false; 100];
+                queue.clear();
+                for h in &mut hosts {
+                    h.feed(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+                }
+            }
+            for (i, h) in hosts.iter_mut().enumerate() {
+                for _ in h.wait(MS).iter().filter(|a| **a == Action::Subscribe) {
+                    calls += 1;
+                    if queue.len() < 76 {
+                        queue.push_back((ms, i));
+                    } else {
+                        in_vain += 1;
+                        h.feed(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+                    }
+                }
+            }
+            rests += 1;
+            if rests >= 25 && !queue.is_empty() {
+                rests = 0;
+                let (since, i) = queue.pop_front().unwrap();
+                if ms - since > 2000 {
+                    in_vain += 1;
+                    hosts[i].feed(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+                } else {
+                    told[i] = true;
+                    hosts[i].feed(Event::List { kind: ListKind::Changes, entries: Vec::new() });
+                }
+            }
+        }
+        assert!(told.iter().all(|t| *t), "seed {seed}: {in_vain} of {calls} calls in vain");
+        assert!(calls < 250, "seed {seed}: {calls} calls for 200 answers");
+    }
+}
