Let reads that must be current look for the primary, and name the cause of what is given up

Seen: at 100 routers a router has 3.6 requests a second over 11 groups, so its own next write to a group may be 20 s away.

At fault: src/brain.rs pick_lead, where only writes scout. Where members turn away reads that they are behind for (guard refuse), a current read now scouts, too; where they don't, it is held as before, since an old answer would break the rule.

Arithmetic (fading sums, draws) moves from the brain to src/samples.rs.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -311,11 +311,11 @@
             Some(limit) => writeln!(reply, "RELAY\t{inst}\t{request:016x}\t{member}\t{limit}"),
             None => writeln!(reply, "RELAY\t{inst}\t{request:016x}\t{member}\t-"),
         },
-        Action::Refuse { request, retry_after } => match retry_after {
+        Action::Refuse { request, retry_after, .. } => match retry_after {
             Some(after) => writeln!(reply, "NOT_NOW\t{inst}\t{request:016x}\t{after}"),
             None => writeln!(reply, "NOT_NOW\t{inst}\t{request:016x}\t-"),
         },
-        Action::Fail { request } => writeln!(reply, "RESPOND_ERROR\t{inst}\t{request:016x}"),
+        Action::Fail { request, .. } => writeln!(reply, "RESPOND_ERROR\t{inst}\t{request:016x}"),
         Action::Cancel { request, attempt } => {
             writeln!(reply, "DROP_ATTEMPT\t{inst}\t{request:016x}\t{attempt}")
         }
--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -32,6 +32,9 @@
     requests, rejected,
     /// Final answers, by kind; clients that left first; answers that the brain left overdue.
     served, refused, failed, client_left, overdue,
+    /// Final answers that are refusals or failures of the brain's, by cause (`Cause` says what each means).
+    gave_class, gave_group, gave_late, gave_attempts, gave_nobody, gave_crowded, gave_unsafe, gave_silent, gave_reserve,
+    gave_unfit,
     /// Attempts, by how they ended.
     attempts, ok, errors, full, timed_out, connect_failed, reset, cancelled, moot, missed, spoilt, unsent, unfit,
     /// Statements prepared on connections to instances, and those of them that an instance had forgotten.
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -34,6 +34,7 @@
     reply: Option<ReplyTo>,
     deadline: Time,
     ask: Rc<Ask>,
+    class: u32,
     sends: u32,
     out: Vec<Out>,
 }
@@ -166,7 +167,8 @@
         }
         let now = self.shared.clock.now();
         let deadline = incoming.arrived.saturating_add(incoming.wait.saturating_sub(MARGIN));
-        let open = Open { id, reply: Some(reply), deadline, ask: incoming.ask, sends: 0, out: Vec::new() };
+        let (ask, class) = (incoming.ask, incoming.class);
+        let open = Open { id, reply: Some(reply), deadline, ask, class, sends: 0, out: Vec::new() };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline, Due::Deadline(request))));
         self.events.push_back(Event::Request(Request {
@@ -230,8 +232,14 @@
     fn act(&mut self, now: Time, action: Action) {
         match action {
             Action::Send { request, member, limit } => self.send(now, request, member, limit),
-            Action::Refuse { request, retry_after } => self.answer(request, Reply::Refused { retry_after }),
-            Action::Fail { request } => self.answer(request, Reply::Failed("not served")),
+            Action::Refuse { request, cause, retry_after } => {
+                self.given_up(request, cause);
+                self.answer(request, Reply::Refused { retry_after });
+            }
+            Action::Fail { request, cause } => {
+                self.given_up(request, cause);
+                self.answer(request, Reply::Failed("not served"));
+            }
             Action::Cancel { request, attempt } => {
                 self.resolve(request, attempt, Ended::silent(Ending::Cancelled));
             }
@@ -251,6 +259,27 @@
         }
     }
 
+    /// Counts why the brain gives a request up.
+    fn given_up(&mut self, request: RequestId, cause: Cause) {
+        let c = &self.shared.counters;
+        count(match cause {
+            Cause::Class => &c.gave_class,
+            Cause::Group => &c.gave_group,
+            Cause::Late => &c.gave_late,
+            Cause::Attempts => &c.gave_attempts,
+            Cause::Nobody => &c.gave_nobody,
+            Cause::Crowded => &c.gave_crowded,
+            Cause::Unsafe => &c.gave_unsafe,
+            Cause::Silent => &c.gave_silent,
+            Cause::Reserve => &c.gave_reserve,
+            Cause::Unfit => &c.gave_unfit,
+        });
+        if let Some(open) = self.open.get(&request) {
+            debug!(self.shared.log, "given up"; "request" => format_args!("{:016x}", open.id),
+                   "class" => open.class, "sends" => open.sends, "cause" => ?cause);
+        }
+    }
+
     fn send(&mut self, now: Time, request: RequestId, member: MemberId, limit: Option<Span>) {
         let most = self.shared.config.site.settings.limits.max_attempts;
         let Some(open) = self.open.get_mut(&request) else {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,6 +4,7 @@
 //! of observed over estimated latency, a read rotates over the fit replicas within 20% of the cheapest
 //! (the two cheapest at least), a failed member costs infinity. The rest guards that path.
 use crate::interface::*;
+use crate::samples::{Dice, Fading};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -32,25 +33,6 @@
 /// Mean latency, in aims, at which refusals begin, and at which all are refused.
 const SHED: (f64, f64) = (1.2, 2.1);
 
-/// A sum of samples and their number, fading with time.
-#[derive(Clone, Copy, Default)]
-struct Fading {
-    sum: f64,
-    n: f64,
-    at: Time,
-}
-
-impl Fading {
-    fn now(&self, now: Time, tau: f64) -> (f64, f64) {
-        let left = (-(now.saturating_sub(self.at) as f64) / tau).exp();
-        (self.sum * left, self.n * left)
-    }
-    fn add(&mut self, now: Time, tau: f64, x: f64) {
-        let (sum, n) = self.now(now, tau);
-        *self = Fading { sum: sum + x, n: n + 1.0, at: now };
-    }
-}
-
 /// An attempt that is out.
 struct Attempt {
     request: RequestId,
@@ -139,7 +121,7 @@
 /// One proxy's decisions.
 pub struct Brain {
     set: Settings,
-    rng: u64,
+    rng: Dice,
     members: Vec<Member>,
     /// Places in `members` that those forgotten have left.
     free: Vec<usize>,
@@ -177,7 +159,7 @@
             _ => None,
         });
         Ok(Brain {
-            rng: seed,
+            rng: Dice::new(seed),
             members: Vec::new(),
             free: Vec::new(),
             index: BTreeMap::new(),
@@ -243,14 +225,6 @@
         &self.set.classes[p.req.class as usize]
     }
 
-    fn random(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.rng;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     // ---- the list of members ----
 
     /// The span over which all proxies' calls to the list's one service are spread: a turn for each.
@@ -264,12 +238,12 @@
             // keep failing the span grows, up to the time for which an old list may be kept.
             let grown = self.turns().saturating_mul(1 << self.failures.min(6));
             let span = grown.min(self.set.rules.ask_every.max(self.tick));
-            self.subscribe_at = Some(now + (self.random() * span as f64) as Span);
+            self.subscribe_at = Some(now + self.rng.within(span));
             self.failures += 1;
             return;
         }
         if kind == ListKind::Remembered {
-            let phase = (self.random() * self.turns() as f64) as Span;
+            let phase = self.rng.within(self.turns());
             self.subscribe_at = self.set.must_subscribe.then_some(now + phase);
         } else {
             self.failures = 0;
@@ -339,7 +313,7 @@
         let (group, zone, answered) = (e.group, e.zone, now);
         // Last in the rotation, in an order of this proxy's own: proxies that hear of the same members in
         // the same instant must not all turn to the same one first.
-        let picked = self.picks + self.random();
+        let picked = self.picks + self.rng.draw();
         if m == self.members.len() {
             self.members.push(Member::default());
         }
@@ -540,7 +514,10 @@
             x.away > 1 || self.groups[&group].primary.is_none() && tried(m)
         });
         let lead = self.lead_open(now, group, p).filter(|m| !lost || !tried(*m));
-        let scouts = lost && self.class(p).need == Need::Write && p.sent + 2 < self.set.limits.max_attempts;
+        // A read that must be current may look, too, where members turn away what they are behind for: with
+        // little traffic the next write may be seconds away.
+        let checked = self.set.guard == Guard::Refuse || self.class(p).need == Need::Write;
+        let scouts = lost && checked && p.sent + 2 < self.set.limits.max_attempts;
         lead.or_else(|| if scouts { self.scout(now, p) } else { None })
     }
 
@@ -658,7 +635,7 @@
     fn on_request(&mut self, now: Time, req: Request, out: &mut Vec<Action>) {
         let id = req.id;
         let Some(class) = self.set.classes.get(req.class as usize) else {
-            out.push(Action::Refuse { request: id, retry_after: None });
+            out.push(Action::Refuse { request: id, cause: Cause::Class, retry_after: None });
             return;
         };
         let stretch = req.work.map_or(0.0, |w| w as f64 * class.aim_stretch) as Span;
@@ -683,7 +660,7 @@
             out: 0,
             tried: Vec::new(),
             over_share,
-            luck: self.random(),
+            luck: self.rng.draw(),
             streaming: false,
             held: false,
             req,
@@ -698,7 +675,7 @@
         let tau = 4.0 * self.max_aim;
         self.tenants[i].add(now, tau, if req.is_retry { 0.0 } else { 1.0 });
         let rate = self.tenants[i].now(now, tau).0 / (tau / 1e9) * f64::from(self.set.proxies.max(1));
-        self.random() < 1.0 - quota / rate
+        self.rng.draw() < 1.0 - quota / rate
     }
 
     /// Sends the request, holds it, or gives it up.
@@ -708,8 +685,11 @@
         let end = if class.late_worth > 0.0 { p.deadline } else { p.aim_end };
         let takes = p.aim as f64 * self.group_factor(now, group).min(0.5);
         let late = now + self.tick.max(takes as Span) >= end;
-        if late || p.sent >= self.set.limits.max_attempts || !self.groups.contains_key(&group) {
-            return self.give_up(p, out);
+        let spent = p.sent >= self.set.limits.max_attempts;
+        let known = self.groups.contains_key(&group);
+        let ends = [(!known, Cause::Group), (late, Cause::Late), (spent, Cause::Attempts)];
+        if let Some((_, cause)) = ends.into_iter().find(|e| e.0) {
+            return self.give_up(p, cause, out);
         }
         let to_lead = matches!(class.need, Need::Write | Need::Fresh);
         let look = class.need == Need::Write && p.sent == 0 && self.set.limits.max_attempts > 2;
@@ -720,7 +700,7 @@
         let Some(m) = target else {
             // Nobody to send it to before half of its time is over: better known now than then.
             if p.sent == 0 && !self.may_come(now, &p) {
-                return self.give_up(p, out);
+                return self.give_up(p, Cause::Nobody, out);
             }
             p.held = true;
             p.tried.clear();
@@ -732,19 +712,25 @@
         };
         // Overload: what would likely miss its aim is refused early, first what lies beyond a share and
         // the reads that crowd the primary. Could harm when one member's queue is taken for the group's.
-        let on_lead = !to_lead && Some(m) == self.lead(now, group);
-        let less = if on_lead { FAR } else { 1.0 } * if p.over_share { FAR } else { 1.0 };
-        // Few samples may hide a queue: the less is known of the member, the more they weigh.
-        let doubt = 1.0 + 1.0 / (PRIOR + self.members[m].latency[1].now(now, self.tau(now, 1)).1);
-        let load = less * doubt * self.cost(now, m, 1) * self.min_aim / p.aim as f64;
+        let load = self.load(now, m, &p);
         let trial = self.members[m].down;
-        let shed = p.sent == 0 && !trial && self.random() < (load - SHED.0) / (SHED.1 - SHED.0);
+        let shed = p.sent == 0 && !trial && self.rng.draw() < (load - SHED.0) / (SHED.1 - SHED.0);
         if shed || !self.may_send(now, m, &p) {
-            return self.give_up(p, out);
+            return self.give_up(p, if shed { Cause::Crowded } else { Cause::Unsafe }, out);
         }
         self.send(now, id, m, p, out);
     }
 
+    /// The latency to be feared at the member, in the request's aims.
+    fn load(&self, now: Time, m: usize, p: &Pending) -> f64 {
+        let to_lead = matches!(self.class(p).need, Need::Write | Need::Fresh);
+        let on_lead = !to_lead && Some(m) == self.lead(now, p.req.group);
+        let less = if on_lead { FAR } else { 1.0 } * if p.over_share { FAR } else { 1.0 };
+        // Few samples may hide a queue: the less is known of the member, the more they weigh.
+        let doubt = 1.0 + 1.0 / (PRIOR + self.members[m].latency[1].now(now, self.tau(now, 1)).1);
+        less * doubt * self.cost(now, m, 1) * self.min_aim / p.aim as f64
+    }
+
     /// Whether any member of the group may be open within the first half of the request's time.
     fn may_come(&self, now: Time, p: &Pending) -> bool {
         let half = p.deadline.saturating_sub(p.req.time_left / 2).max(now);
@@ -784,17 +770,17 @@
     }
 
     /// The final answer, at once: refused where that is certain to do no harm, else failed.
-    fn give_up(&mut self, p: Pending, out: &mut Vec<Action>) {
+    fn give_up(&mut self, p: Pending, cause: Cause, out: &mut Vec<Action>) {
         let request = p.req.id;
         let repeat = self.class(&p).repeat;
         let harmless = p.ran.is_empty() || matches!(repeat, Repeat::Safe | Repeat::Keyed(Scope::All));
         if harmless {
             let longest = self.set.limits.max_retry_advice as f64;
-            let advice = (longest * (0.5 + self.random() / 2.0)) as Span;
+            let advice = (longest * (0.5 + self.rng.draw() / 2.0)) as Span;
             let retry_after = self.set.limits.retry_advice.then_some(advice);
-            out.push(Action::Refuse { request, retry_after });
+            out.push(Action::Refuse { request, cause, retry_after });
         } else {
-            out.push(Action::Fail { request });
+            out.push(Action::Fail { request, cause });
         }
         self.pending.insert(request, p);
         self.close(request, out);
@@ -889,7 +875,7 @@
                 // A quick error must not look cheap: it counts as an answer far beyond the aim.
                 self.answered(now, m);
                 self.observe(now, m, took.max(FAR * a.aim), a.aim);
-                let draw = 0.25 + self.random() / 2.0;
+                let draw = 0.25 + self.rng.draw() / 2.0;
                 let x = &mut self.members[m];
                 (x.down, x.trial_at) = (true, now + (self.max_aim * draw) as Span);
             }
@@ -906,7 +892,7 @@
             // One connection may break on its own: a process that died breaks all and refuses new ones.
             Ending::Reset if self.members[m].broken < IN_A_ROW => {}
             Ending::ConnectFailed | Ending::Reset => {
-                let draw = 0.5 + self.random();
+                let draw = 0.5 + self.rng.draw();
                 let x = &mut self.members[m];
                 let group = x.group;
                 x.away_since = if x.away == 0 { now } else { x.away_since };
@@ -925,7 +911,7 @@
     /// An attempt has failed and no other is out: another one, or the final answer.
     fn again(&mut self, now: Time, id: RequestId, mut p: Pending, ending: Ending, out: &mut Vec<Action>) {
         if ending == Ending::Rejected {
-            out.push(Action::Fail { request: id });
+            out.push(Action::Fail { request: id, cause: Cause::Unfit });
             self.pending.insert(id, p);
             return self.close(id, out);
         }
@@ -943,7 +929,15 @@
         let price =
             if matches!(ending, Ending::Miss | Ending::ConnectFailed | Ending::Unsent) { 0.0 } else { 1.0 };
         if !allowed || self.budget < price || ending == Ending::Moot {
-            return self.give_up(p, out);
+            let silent = matches!(ending, Ending::TimedOut | Ending::Moot);
+            let cause = if silent {
+                Cause::Silent
+            } else if allowed {
+                Cause::Reserve
+            } else {
+                Cause::Unsafe
+            };
+            return self.give_up(p, cause, out);
         }
         self.budget -= price;
         // Turned away by a cold member it has pushed it all the same: back at half the chance, or none.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -414,6 +414,31 @@
     },
 }
 
+/// Why a request was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// No such class.
+    Class,
+    /// The list names no member of its group.
+    Group,
+    /// Too little of its time is left for an answer that is worth something.
+    Late,
+    /// It has had as many attempts as are allowed.
+    Attempts,
+    /// No member of its group can take it within half of its time.
+    Nobody,
+    /// The member in turn is likely to answer too late: overload.
+    Crowded,
+    /// It may have run, and its class or its key's window does not allow another attempt.
+    Unsafe,
+    /// An attempt was silent until its time was over.
+    Silent,
+    /// The reserve of further attempts is spent.
+    Reserve,
+    /// A member took it for no request.
+    Unfit,
+}
+
 /// What the proxy is to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -430,6 +455,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// Why.
+        cause: Cause,
         /// How long the client should stay away.
         retry_after: Option<Span>,
     },
@@ -437,6 +464,8 @@
     Fail {
         /// The request.
         request: RequestId,
+        /// Why.
+        cause: Cause,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod brain;
 pub mod interface;
+mod samples;
 
 pub use brain::Brain;
 pub use interface::*;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -509,3 +509,39 @@
     let again = (0..12).filter_map(|_| sent(&short(&mut h)).map(str::to_string)).any(|m| m != "b");
     assert!(again, "the last one to go rests for one and a half longest aims at most");
 }
+
+#[test]
+fn what_is_given_up_names_its_cause() {
+    let cause = |out: &[Action], id: RequestId| {
+        out.iter().find_map(|a| match a {
+            Action::Refuse { request, cause, .. } | Action::Fail { request, cause } if *request == id => {
+                Some(*cause)
+            }
+            _ => None,
+        })
+    };
+    let mut h = Host::new(settings());
+    h.warm_up();
+    let (id, out) = h.request(99);
+    assert_eq!(cause(&out, id), Some(Cause::Class));
+    let (id, _) = h.request(KEYED);
+    let out = h.outcome(id, "a", 0, Ending::TimedOut, Standing::default());
+    assert_eq!(cause(&out, id), Some(Cause::Silent));
+    let (id, _) = h.request(WRITE);
+    let out = h.outcome(id, "a", 0, Ending::Reset, Standing::default());
+    assert_eq!(cause(&out, id), Some(Cause::Unsafe));
+    let (id, out) = h.request(SESSION);
+    let to = sent(&out).unwrap().to_string();
+    let out = h.outcome(id, &to, 0, Ending::Rejected, Standing::default());
+    assert_eq!(cause(&out, id), Some(Cause::Unfit));
+    // All members at rest for longer than half of the request's time.
+    let mut gone = Vec::new();
+    for m in ["a", "b", "c"] {
+        let mut e = entry(m, m == "a");
+        e.state = State::Gone;
+        gone.push(e);
+    }
+    h.feed(Event::List { kind: ListKind::Changes, entries: gone });
+    let (id, out) = h.request(SESSION);
+    assert_eq!(cause(&out, id), Some(Cause::Nobody));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -75,7 +75,7 @@
                     assert!(!unsure || o.may_have_run == 0, "rule 2: refused though it may have run");
                     o.over = true;
                 }
-                Action::Fail { request } => {
+                Action::Fail { request, .. } => {
                     let o = self.owed.get_mut(&request).expect("a known request");
                     assert!(!o.over, "rule 1: answered twice");
                     o.over = true;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -347,3 +347,31 @@
         assert!(calls < 250, "seed {seed}: {calls} calls for 200 answers");
     }
 }
+
+/// With little traffic the next write may be seconds away: a read that must be current looks for the primary itself,
+/// but only where members turn away what they are behind for.
+#[test]
+fn a_read_that_must_be_current_looks_for_the_primary_where_members_check() {
+    for guard in [Guard::Refuse, Guard::Silent] {
+        let mut set = settings();
+        (set.guard, set.list_role) = (guard, ListRole::Silent);
+        for seed in 0..20 {
+            let mut h = Host::seeded(set.clone(), seed);
+            let (id, mut out) = h.request(FRESH);
+            if guard == Guard::Silent {
+                assert_eq!(sent(&out), None, "seed {seed}: might be answered from old data");
+                continue;
+            }
+            let mut asked = Vec::new();
+            while let Some(to) = sent(&out).map(str::to_string) {
+                let (ending, s) =
+                    if to == "a" { (Ending::Served, primary(h.now)) } else { (Ending::Miss, replica(h.now)) };
+                let n = asked.len() as u32;
+                asked.push(to.clone());
+                out = h.outcome(id, &to, n, ending, s);
+            }
+            assert_eq!(asked.last().map(String::as_str), Some("a"), "seed {seed}: {asked:?}");
+            assert!(asked.len() <= 3, "seed {seed}: each is asked once: {asked:?}");
+        }
+    }
+}
