Do not give a hung replica the reads that a cold one leaves, and count ends of calls and dials

While newcomers are cold the band holds only them; a read that they did not take by their share went to the cheapest other member at any cost: the hung one.

At fault: src/brain.rs pick_read, the last step (spare before primary, whatever it costs).

Counters tell list calls and dials by their ends, and why requests were given up.

--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -43,8 +43,11 @@
     cancel_requests, cancels,
     /// Members that came into the list and left it, where it has several sources; queries for service records.
     members_came, members_went, dns_queries,
-    /// Connections to instances, probes, and calls to discovery.
-    dials, dial_failures, probes, list_calls, list_failures,
+    /// Connections to instances, and those that did not come up: the instance had no room, it refused or broke off,
+    /// it said nothing in time; probes.
+    dials, dials_turned_away, dials_broken, dials_silent, probes,
+    /// Calls to discovery, and those that ended with another status than 200, in silence, broke, or brought no list.
+    list_calls, list_turned_away, list_silent, list_broken, list_unreadable,
 }
 
 /// Counts one more.
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -330,7 +330,8 @@
         });
         let latency = self.shared.clock.now().saturating_sub(out.sent);
         debug!(self.shared.log, "attempt ended"; "request" => format_args!("{:016x}", open.id),
-               "number" => number, "member" => &*out.member, "ending" => ?ended.ending, "ns" => latency);
+               "class" => open.class, "number" => number, "member" => &*out.member,
+               "ending" => ?ended.ending, "ns" => latency);
         if let Some(answer) = ended.answer {
             self.answer(request, Reply::Served(answer));
         }
--- a/router/src/peer/link.rs
+++ b/router/src/peer/link.rs
@@ -209,14 +209,17 @@
         };
         let within = async {
             Timer::after(limit).await;
-            Err(Ending::ConnectFailed)
+            None
         };
-        let counters = shared.clone();
-        let dialled = or(Link::welcome(shared, member, endpoint, slot), within).await;
-        if dialled.is_err() {
-            count(&counters.counters.dial_failures);
+        let c = shared.clone();
+        let dialled = or(async { Some(Link::welcome(shared, member, endpoint, slot).await) }, within).await;
+        match &dialled {
+            Some(Ok(_)) => {}
+            Some(Err(Ending::Full)) => count(&c.counters.dials_turned_away),
+            Some(Err(_)) => count(&c.counters.dials_broken),
+            None => count(&c.counters.dials_silent),
         }
-        dialled
+        dialled.unwrap_or(Err(Ending::ConnectFailed))
     }
 
     async fn welcome(
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -198,7 +198,13 @@
                 (if list.whole { ListKind::Whole } else { ListKind::Changes }, list.entries)
             }
             Err(e) => {
-                count(&self.shared.counters.list_failures);
+                let c = &self.shared.counters;
+                count(match &e {
+                    CallError::Http(HttpError::Status(_)) => &c.list_turned_away,
+                    CallError::Http(HttpError::Io(_)) => &c.list_broken,
+                    CallError::Silent => &c.list_silent,
+                    CallError::Http(_) | CallError::List(_) | CallError::Json(_) => &c.list_unreadable,
+                });
                 warn!(self.shared.log, "discovery call failed"; "error" => %e, "ms" => took);
                 (ListKind::Failed, Vec::new())
             }
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -345,6 +345,25 @@
     assert_eq!((asked(&instance), asked(&moved)), (1, 1));
 }
 
+/// Guards the counters that tell the operator why nothing is served: nobody at the instance's address, discovery down.
+#[test]
+fn what_does_not_come_up_is_counted_by_its_end() {
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let discovery = Discovery::start(None);
+    let router = start(&discovery, &[target("s-1", nobody, "ready")], 1024);
+    assert_eq!(router.client().ask(&read(1, 2000)).code, "53300");
+    assert!(router.logged("discovery call failed"));
+    let line = router.counters();
+    let count = |name: &str| -> u64 {
+        let field = line.split(' ').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')?.parse().ok());
+        field.unwrap_or_else(|| panic!("{name}: {line}"))
+    };
+    assert!(count("dials_broken") > 0 && count("dials_broken") == count("dials"), "{line}");
+    assert!(count("list_turned_away") > 0 && count("list_silent") == 0, "{line}");
+    let given = ["gave_late", "gave_nobody", "gave_crowded", "gave_attempts", "gave_silent", "gave_reserve"];
+    assert_eq!(given.iter().map(|g| count(g)).sum::<u64>(), 1, "{line}");
+}
+
 /// Guards the instances' tables and the price of handshakes: with little traffic a connection that is closed long
 /// before its time has to be made again for the next request; one closed too late crosses the instance's own close.
 #[test]
@@ -395,7 +414,7 @@
     // Its answer begins the watch: no other call comes between.
     assert!(discovery.calls.wait_for(LIMIT, |c| (c.len() >= 2).then_some(())).is_some());
     assert!(discovery.calls.change(|c| c[1].contains("timeout_ms=10000")));
-    assert!(!router.counters().contains(" list_failures=1"));
+    assert!(router.counters().contains(" list_turned_away=0 list_silent=0 list_broken=0 list_unreadable=0"));
 }
 
 /// Guards against a busy loop: a watch that is answered at once, again and again, is slowed down, though not
@@ -447,7 +466,7 @@
     router.reload("discovery", next.address.to_string().into());
     assert!(next.calls.wait_for(LIMIT, |c| (!c.is_empty()).then_some(())).is_some());
     let line = router.counters();
-    assert!(line.contains("list_failures=0"), "{line}");
+    assert!(line.contains("list_turned_away=0 list_silent=0 list_broken=0"), "{line}");
 }
 
 /// Guards the old configuration against a file that makes no sense, and says what takes a restart.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -633,7 +633,10 @@
             self.picks += 1.0;
             self.members[m].picked = self.picks;
         }
-        let spare = || fit.iter().map(|f| f.1).find(|&m| self.admits(now, m, p));
+        // With the band too cold for it a read goes on to a dearer member, but not to one that hangs while
+        // the primary does not: such a one is the spare of every proxy.
+        let dear = primary.map_or(f64::INFINITY, |m| FAR * self.cost(now, m, 0));
+        let spare = || fit.iter().find(|f| f.0 <= dear && self.admits(now, f.1, p)).map(|f| f.1);
         taker.map(|i| band[i]).or_else(spare).or(primary)
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -545,3 +545,48 @@
     let (id, out) = h.request(SESSION);
     assert_eq!(cause(&out, id), Some(Cause::Nobody));
 }
+
+/// A cold member takes its share of the reads in turn; those it does not take go on, but not to one that hangs while
+/// the primary answers: for many proxies that one would be the spare of all.
+#[test]
+fn what_a_cold_replica_does_not_take_goes_to_the_primary_before_one_that_hangs() {
+    let (mut to_hung, mut to_lead) = (0, 0);
+    for seed in 0..10 {
+        let mut h = Host::seeded(settings(), seed);
+        h.warm_up();
+        for _ in 0..20 {
+            let (id, out) = h.request(SESSION);
+            let to = sent(&out).unwrap().to_string();
+            if to != "c" {
+                h.outcome(id, &to, 0, Ending::Served, replica(h.now));
+                continue;
+            }
+            let (request, member, attempt, latency) = (id, Arc::from("c"), 0, 2000 * MS);
+            let (standing, report, closed) = (Standing::default(), Standing::default(), true);
+            let ending = Ending::TimedOut;
+            h.feed(Event::Outcome(Outcome {
+                request,
+                member,
+                attempt,
+                ending,
+                standing,
+                report,
+                latency,
+                closed,
+            }));
+        }
+        let mut cold = entry("b", false);
+        cold.started = h.now;
+        h.feed(Event::List { kind: ListKind::Changes, entries: vec![cold] });
+        for _ in 0..20 {
+            let (id, out) = h.request(SESSION);
+            let to = sent(&out).unwrap().to_string();
+            to_hung += u32::from(to == "c");
+            to_lead += u32::from(to == "a");
+            let s = if to == "a" { primary(h.now) } else { replica(h.now) };
+            h.outcome(id, &to, 0, Ending::Served, s);
+        }
+    }
+    assert_eq!(to_hung, 0);
+    assert!(to_lead > 50, "{to_lead} of 200");
+}
