--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -63,7 +63,10 @@
             Ok((stream, _)) => {
                 count(&shared.counters.clients);
                 shared.last_arrival.set(shared.clock.now());
-                executor.spawn(serve(shared.clone(), stream, slot)).detach();
+                // Counted from here on, not from when its task first runs: in a burst that is many connections
+                // later, and a connection in use would be asked to make room for those that say nothing.
+                let fresh = shared.clients.fresh();
+                executor.spawn(serve(shared.clone(), stream, slot, fresh)).detach();
                 if shared.clients.is_short() {
                     // Ahead of the need: the next one must not wait in the backlog for room to be made.
                     shared.clients.want();
@@ -79,10 +82,10 @@
     }
 }
 
-async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>, _slot: Slot) {
+async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>, _slot: Slot, fresh: Tally) {
     let _ = stream.get_ref().set_nodelay(true);
     let accepted = shared.clock.now();
-    let (buffer, fresh) = (Buffer::new(&shared.memory), Some(shared.clients.fresh()));
+    let (buffer, fresh) = (Buffer::new(&shared.memory), Some(fresh));
     let cancel = Rc::new(Cancel::default());
     let pipeline = (shared.config.edge.extended.mode != Mode::Off).then(|| Pipeline::new(&shared));
     let (begun, is_skipping, process) = (None, false, None);
