Let routers take in unknown replicas again: keeping to some left newcomers idle

While members are replaced the newcomers are unknown to all routers, and were left idle while the known ones were crowded.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,9 +30,6 @@
 const IN_A_ROW: u32 = 3;
 /// What one call may take of a slow list's service. In a queue that outlasts its calls none is served.
 const TURN: Span = 30_000_000;
-/// A member of which nothing is known lately counts as dearer by this factor: where many proxies share many
-/// members, each keeps to some of them, knows these better, and spares handshakes.
-const FRESH: f64 = 1.3;
 /// Mean latency, in aims, at which refusals begin, and at which all are refused.
 const SHED: (f64, f64) = (1.2, 2.1);
 
@@ -604,9 +601,7 @@
                     trial = trial.or(Some(m));
                 }
             } else if Some(m) != lead {
-                // One without a sample would have to be connected to first, and be learned from nothing.
-                let fresh = x.latency[0].now(now, self.tau(now, 0)).1 < 0.5;
-                fit.push((self.cost(now, m, 0) * if fresh { FRESH } else { 1.0 }, m));
+                fit.push((self.cost(now, m, 0), m));
             }
         }
         if let Some(m) = trial.filter(|_| p.sent == 0) {
@@ -615,9 +610,7 @@
             x.trial_at = now + TRIAL.min((self.max_aim as Span) << x.trials.min(8));
             return Some(m);
         }
-        // Equal costs in this proxy's own order: the first by name would be every proxy's second.
-        let picked = |f: &(f64, usize)| self.members[f.1].picked;
-        fit.sort_by(|a, b| a.0.total_cmp(&b.0).then(picked(a).total_cmp(&picked(b))));
+        fit.sort_by(|a, b| a.0.total_cmp(&b.0));
         let primary = lead.filter(|m| !p.tried.contains(m) && self.ready(now, *m, p));
         let best = fit.first().map(|f| f.0);
         if let Some(m) = primary.filter(|&m| best.is_none_or(|b| b > FAR * self.cost(now, m, 0))) {
