--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -260,7 +260,7 @@
     }
 
     /// Counts why the brain gives a request up.
-    fn given_up(&mut self, request: RequestId, cause: Cause) {
+    fn given_up(&self, request: RequestId, cause: Cause) {
         let c = &self.shared.counters;
         count(match cause {
             Cause::Class => &c.gave_class,
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -21,6 +21,10 @@
 /// Part of the idle limit after which a pooled connection is retired: the instance's own clock must not
 /// close it under a request.
 const RETIRE: f64 = 0.9;
+/// Looks at idle connections in each such time, so that one goes that much later at the most.
+const SWEEPS: u64 = 16;
+const _: () =
+    assert!(RETIRE * (1.0 + 1.0 / SWEEPS as f64) < 1.0, "an idle connection would outlive its limit");
 /// Part of the drain grace that a send's first byte may use up, counted from being told.
 const DRAIN: f64 = 0.8;
 const MAILBOX: usize = 1024;
@@ -115,7 +119,7 @@
                 if self.idle.is_empty() {
                     futures_lite::future::pending::<()>().await;
                 }
-                Timer::after(Duration::from_nanos(retire / 16)).await;
+                Timer::after(Duration::from_nanos(retire / SWEEPS)).await;
                 Next::Sweep
             };
             let spare = async {
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -135,22 +135,27 @@
         match call {
             // Answered at once if the list is not the newest; else nothing is to be told. A short call first
             // would be a second one for the same service.
-            Call::Subscribe => self.call(&self.watch_path(WATCH), WATCH).await,
+            Call::Subscribe => self.since().await,
             Call::Fetch => self.call("/api/targets", NOW).await,
         }
     }
 
-    fn watch_path(&self, wait: Duration) -> String {
+    /// A call that waits for something newer than the version known; without one it asks for the whole list, which
+    /// waits for nothing, so that its silence is noticed sooner.
+    async fn since(&self) -> Result<List, CallError> {
         match self.version.get() {
-            Some(v) => format!("/api/targets?since={v}&timeout_ms={}", wait.as_millis()),
-            None => "/api/targets".to_owned(),
+            Some(v) => {
+                let path = format!("/api/targets?since={v}&timeout_ms={}", WATCH.as_millis());
+                self.call(&path, WATCH).await
+            }
+            None => self.call("/api/targets", NOW).await,
         }
     }
 
     /// One call that waits for changes.
     async fn watch(&self) -> Result<List, CallError> {
         let began = self.shared.clock.now();
-        let answer = self.call(&self.watch_path(WATCH), WATCH).await?;
+        let answer = self.since().await?;
         let waited = Duration::from_nanos(self.shared.clock.now().saturating_sub(began));
         if answer.entries.is_empty() && waited < WATCH / 2 {
             // Answered early without news: calls that follow at once would keep both sides busy for nothing.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -932,13 +932,11 @@
         let price =
             if matches!(ending, Ending::Miss | Ending::ConnectFailed | Ending::Unsent) { 0.0 } else { 1.0 };
         if !allowed || self.budget < price || ending == Ending::Moot {
-            let silent = matches!(ending, Ending::TimedOut | Ending::Moot);
-            let cause = if silent {
-                Cause::Silent
-            } else if allowed {
-                Cause::Reserve
-            } else {
-                Cause::Unsafe
+            let cause = match ending {
+                Ending::Moot => Cause::Late,
+                _ if allowed => Cause::Reserve,
+                Ending::TimedOut => Cause::Silent,
+                _ => Cause::Unsafe,
             };
             return self.give_up(p, cause, out);
         }
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -5,8 +5,7 @@
 /// A sum of samples and their number, fading with time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Fading {
-    /// The sum as of the latest sample.
-    pub sum: f64,
+    sum: f64,
     /// The number as of the latest sample.
     pub n: f64,
     at: Time,
