Notice a silent watch within 3.5 s, and call a failed list again within 2 s

A watch waited 10 s a call and its silence was noticed 5 s after that, while its news count as told 6 s after it fell silent or 2 s after its wait, whichever is later: 12 s against 15 s (router/src/roster.rs, WATCH and SILENCE). With 300 routers the span over which failed calls are drawn was 9 s, doubled at each failure (src/brain.rs, TURN), where news counts as told 6 s after discovery could be reached.

Now the waits, the patience and the reopening of a watch are decided in membership/src/watch.rs, on made-up time; the first call of a watch waits 1 s and may wait 2 s for its turn, the others wait 3 s, and a watch that falls silent is opened anew at once on a new connection. The brain draws its calls over 2 s at the most.

Paths in other tests name the new wait.

--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod browse;
 mod members;
+pub mod watch;
 pub mod wheel;
 
 pub use members::{
--- /dev/null
+++ b/membership/src/watch.rs
@@ -0,0 +1,143 @@
+//! The calls that keep a list up to date: how long each may wait at its service, when its silence is a failure, and
+//! what follows it. The spans keep every way in which news can be late within the time by which it counts as told;
+//! `docs/design/edges.md` has the table.
+
+use reelrill::{Span, Time};
+
+const MS: Span = 1_000_000;
+
+/// Whatever the service has to tell counts as told by then, from the moment it had it and could be reached, or from
+/// the moment a watch fell silent.
+pub const TOLD: Span = 6000 * MS;
+/// For a call that may wait: so long after that wait is over, if that is later.
+pub const TOLD_AFTER_WAIT: Span = 2000 * MS;
+/// The wait of the first call of a watch. Short, since it may also wait for its turn.
+pub const OPENING: Span = 1000 * MS;
+/// The wait of a watch's further calls. A silence is noticed only after it.
+pub const WAIT: Span = 3000 * MS;
+/// How long a call may wait for its turn at a busy service, beyond its own wait: a service ends one after 2 s, and one
+/// that is repeated while it still waits is served twice, the first time for nobody.
+pub const TURN: Span = 2000 * MS;
+/// What an answer may be late, beyond all waits.
+pub const LATE: Span = 500 * MS;
+/// A connection that is not made by then has failed.
+pub const CONNECT: Span = 1200 * MS;
+/// The pause after a call that was answered early without news; the service takes a call for the same watch's next
+/// one within 200 ms.
+pub const PAUSE: Span = 100 * MS;
+
+// A watch whose call has fallen silent is open again, after one further call, before what it missed counts as told.
+const _: () = assert!(WAIT + LATE + LATE < TOLD && WAIT + LATE + LATE < WAIT + TOLD_AFTER_WAIT);
+const _: () = assert!(OPENING + TURN + LATE + CONNECT < TOLD);
+
+/// One call: for what is newer than a version, or for the whole list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// The version known, and how long the call may wait for a newer one; none: the whole list is asked for.
+    pub since: Option<(u64, Span)>,
+    /// When its silence is a failure, counted from the end of its writing.
+    pub patience: Span,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With a list of this version; `news`: it named anything.
+    Answered {
+        /// The list's version.
+        version: u64,
+        /// It had entries.
+        news: bool,
+    },
+    /// The connection stayed open and said nothing.
+    Silent,
+    /// Turned away, broken, or without a list in it.
+    Failed,
+}
+
+/// What follows a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Then {
+    /// This call, after so long. It was already told how the last one ended, unless `quietly`.
+    Call {
+        /// The next call.
+        call: Call,
+        /// The pause before it.
+        after: Span,
+        /// Nothing is told of the call that ended: it is only opened anew.
+        quietly: bool,
+    },
+    /// Whoever asked is told that it failed, and asks again.
+    Rest,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ask {
+    /// Changes, from now on.
+    Changes,
+    /// The whole list, once.
+    Whole,
+}
+
+/// The calls of one list.
+#[derive(Debug, Clone)]
+pub struct Watch {
+    version: Option<u64>,
+    /// When the call that is out began.
+    began: Time,
+    /// Its wait.
+    wait: Span,
+    /// The last call was answered.
+    is_open: bool,
+}
+
+impl Watch {
+    /// With a list of this version, if there is one.
+    pub fn new(version: Option<u64>) -> Watch {
+        Watch { version, began: 0, wait: 0, is_open: false }
+    }
+
+    /// Calls follow one another without being asked for.
+    pub fn is_open(&self) -> bool {
+        self.is_open
+    }
+
+    /// The service is another one: versions of the old one mean nothing there.
+    pub fn moved(&mut self) {
+        (self.version, self.is_open) = (None, false);
+    }
+
+    /// The call for what is asked.
+    pub fn ask(&mut self, now: Time, ask: Ask) -> Call {
+        self.begin(now, ask, OPENING, TURN)
+    }
+
+    fn begin(&mut self, now: Time, ask: Ask, wait: Span, turn: Span) -> Call {
+        let since = self.version.filter(|_| ask == Ask::Changes).map(|version| (version, wait));
+        (self.began, self.wait) = (now, since.map_or(0, |s| s.1));
+        // The whole list waits for nothing but its turn.
+        let patience = if since.is_some() { wait + turn } else { TURN };
+        Call { since, patience: patience + LATE }
+    }
+
+    /// A call has ended at `now`.
+    pub fn ended(&mut self, now: Time, ended: Ended) -> Then {
+        let was_open = std::mem::replace(&mut self.is_open, false);
+        match ended {
+            Ended::Answered { version, news } => {
+                (self.version, self.is_open) = (Some(version), true);
+                // Answered early without news: calls that follow at once would keep both sides busy for nothing.
+                let is_early = !news && now.saturating_sub(self.began) < self.wait / 2;
+                let after = if is_early { PAUSE } else { 0 };
+                Then::Call { call: self.begin(now + after, Ask::Changes, WAIT, 0), after, quietly: false }
+            }
+            // A watch that has fallen silent is opened anew at once, on a new connection: there is no time for a
+            // drawn pause, and the routers' watches are out of step. If that is silent, too, it has failed.
+            Ended::Silent if was_open => {
+                Then::Call { call: self.begin(now, Ask::Changes, OPENING, TURN), after: 0, quietly: true }
+            }
+            Ended::Silent | Ended::Failed => Then::Rest,
+        }
+    }
+}
--- /dev/null
+++ b/membership/tests/watch.rs
@@ -0,0 +1,84 @@
+//! The clocks by which a change of the list counts as told, on made-up time.
+
+use reelrill::Time;
+use reelrill_membership::watch::{Ask, Call, Ended, LATE, TOLD, TOLD_AFTER_WAIT, Then, Watch};
+use rstest::rstest;
+
+const MS: Time = 1_000_000;
+
+fn open(version: u64) -> (Watch, Call) {
+    let mut watch = Watch::new(Some(version));
+    watch.ask(0, Ask::Changes);
+    let Then::Call { call, .. } = watch.ended(0, Ended::Answered { version, news: true }) else { panic!() };
+    (watch, call)
+}
+
+/// Guards the clock of a silent watch: whenever in its wait it falls silent, it is open again before what it misses
+/// counts as told, also if the new call takes half a second.
+#[test]
+fn a_watch_that_falls_silent_is_open_again_before_its_news_count_as_told() {
+    let (_, call) = open(7);
+    let (_, wait) = call.since.expect("a watch");
+    for silent_at in (0..wait).step_by(50_000_000) {
+        let (mut watch, call) = open(7);
+        let told = (silent_at + TOLD).max(wait + TOLD_AFTER_WAIT);
+        let Then::Call { call: next, after, quietly: true } = watch.ended(call.patience, Ended::Silent)
+        else {
+            panic!("it is not opened anew")
+        };
+        assert_eq!(next.since.map(|s| s.0), Some(7));
+        assert!(call.patience + after + LATE < told, "silent at {silent_at}");
+    }
+}
+
+/// Guards a service that stays silent: the second silence in a row is told, and asked for anew by its owner.
+#[test]
+fn a_second_silence_in_a_row_is_a_failure() {
+    let (mut watch, call) = open(7);
+    let now = call.patience;
+    assert!(matches!(watch.ended(now, Ended::Silent), Then::Call { quietly: true, .. }));
+    assert_eq!(watch.ended(now + 1, Ended::Silent), Then::Rest);
+    assert!(!watch.is_open());
+}
+
+/// Guards a busy service: a call that may still wait for its turn there is not given up.
+#[rstest]
+#[case(Some(7), Ask::Changes)]
+#[case(Some(7), Ask::Whole)]
+#[case(None, Ask::Changes)]
+fn a_first_call_may_wait_for_its_turn(#[case] version: Option<u64>, #[case] ask: Ask) {
+    let call = Watch::new(version).ask(0, ask);
+    let waits = call.since.map_or(0, |s| s.1);
+    assert!(call.patience > waits + 2000 * MS && call.patience < TOLD - 2000 * MS, "{call:?}");
+    assert_eq!(call.since.is_some(), version.is_some() && ask == Ask::Changes);
+}
+
+/// Guards both sides against a service that answers at once without news, and the watch against a pause that makes
+/// it a new one.
+#[test]
+fn an_early_answer_without_news_is_followed_after_a_pause() {
+    let (mut watch, call) = open(7);
+    let after = |watch: &mut Watch, now, news| match watch.ended(now, Ended::Answered { version: 7, news }) {
+        Then::Call { after, .. } => after,
+        Then::Rest => panic!("an answer ended the watch"),
+    };
+    assert_eq!(after(&mut watch.clone(), 10 * MS, false), 100 * MS);
+    assert_eq!(after(&mut watch.clone(), 10 * MS, true), 0);
+    assert_eq!(after(&mut watch, call.since.unwrap().1, false), 0);
+}
+
+/// Guards against versions of another service: after a move the whole list is asked for.
+#[test]
+fn after_a_move_the_whole_list_is_asked_for() {
+    let (mut watch, _) = open(7);
+    watch.moved();
+    assert_eq!(watch.ask(0, Ask::Changes).since, None);
+}
+
+/// Guards the owner's own rule for failures: what breaks is told at once.
+#[test]
+fn a_broken_call_is_told_and_ends_the_watch() {
+    let (mut watch, _) = open(7);
+    assert_eq!(watch.ended(MS, Ended::Failed), Then::Rest);
+    assert!(!watch.is_open());
+}
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -322,7 +322,7 @@
     let mut client = router.client();
     discovery.publish(list("draining"));
     // The next call of the watch carries the version that names it as draining.
-    let told = |c: &mut Vec<String>| c.iter().any(|p| p.contains("since=2&timeout_ms=10000")).then_some(());
+    let told = |c: &mut Vec<String>| c.iter().any(|p| p.contains("since=2&timeout_ms=3000")).then_some(());
     assert!(discovery.calls.wait_for(LIMIT, told).is_some());
     let before = old.seen.change(|s| s.queries.len());
     for id in 1..=20 {
@@ -391,7 +391,7 @@
     assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
     let calls = discovery.calls.change(|c| c.len());
     discovery.publish(vec![target("s-1", instance.address, "ready")]);
-    let again = |c: &mut Vec<String>| c[calls..].iter().any(|p| p.contains("timeout_ms=10000")).then_some(());
+    let again = |c: &mut Vec<String>| c[calls..].iter().any(|p| p.contains("timeout_ms=3000")).then_some(());
     assert!(discovery.calls.wait_for(LIMIT, again).is_some());
 }
 
@@ -403,8 +403,9 @@
     discovery.manner.change(|m| *m = Manner::Silent);
     let list = vec![target("s-1", instance.address, "ready")];
     let router = start(&discovery, &list, 1024);
+    // A service ends a call that has waited for its turn for 2 s.
     let calls =
-        |n: usize| discovery.calls.wait_for(Duration::from_millis(2500), |c| (c.len() >= n).then_some(()));
+        |n: usize| discovery.calls.wait_for(Duration::from_millis(2000), |c| (c.len() >= n).then_some(()));
     assert!(calls(1).is_some());
     assert!(calls(2).is_none(), "repeated while it waits");
     // Meanwhile the router serves from the list it has.
@@ -413,10 +414,28 @@
     discovery.manner.change(|m| *m = Manner::Proper);
     // Its answer begins the watch: no other call comes between.
     assert!(discovery.calls.wait_for(LIMIT, |c| (c.len() >= 2).then_some(())).is_some());
-    assert!(discovery.calls.change(|c| c[1].contains("timeout_ms=10000")));
+    assert!(discovery.calls.change(|c| c[1].contains("timeout_ms=3000")));
     assert!(router.counters().contains(" list_turned_away=0 list_silent=0 list_broken=0 list_unreadable=0"));
 }
 
+/// Guards the clock of silence: a watch that falls silent is opened anew, on a new connection, and what it missed is
+/// there before it counts as told; the decider hears of no failure.
+#[test]
+fn a_silent_watch_is_opened_anew_before_its_news_count_as_told() {
+    let (instance, discovery, router) = one(Act::Serve);
+    let watched = |c: &mut Vec<String>| c.iter().any(|p| p.contains("timeout_ms=3000")).then_some(());
+    assert!(discovery.calls.wait_for(LIMIT, watched).is_some());
+    // Calls that have begun get no answer; the next ones do.
+    discovery.mute();
+    let silent = Instant::now();
+    discovery.publish(vec![target("s-1", instance.address, "draining")]);
+    let calls = discovery.calls.change(|c| c.len());
+    let told = |c: &mut Vec<String>| c[calls..].iter().any(|p| p.contains("since=2&")).then_some(());
+    assert!(discovery.calls.wait_for(LIMIT, told).is_some());
+    assert!(silent.elapsed() < Duration::from_millis(5500), "{:?}", silent.elapsed());
+    assert!(router.counters().contains(" list_silent=1 list_broken=0 "));
+}
+
 /// Guards against a busy loop: a watch that is answered at once, again and again, is slowed down, though not
 /// beyond the 200 ms after which discovery takes it for a new one.
 #[test]
@@ -435,8 +454,7 @@
 fn a_new_configuration_moves_discovery() {
     let (old, discovery, mut router) = one(Act::Serve);
     discovery.publish(vec![target("s-1", old.address, "ready")]);
-    let watched =
-        |c: &mut Vec<String>| c.iter().any(|p| p.contains("since=2&timeout_ms=10000")).then_some(());
+    let watched = |c: &mut Vec<String>| c.iter().any(|p| p.contains("since=2&timeout_ms=3000")).then_some(());
     assert!(discovery.calls.wait_for(LIMIT, watched).is_some());
     let moved = Instance::start("master", Act::Serve);
     let next = Discovery::start(Some(vec![target("s-2", moved.address, "ready")]));
@@ -444,7 +462,7 @@
     assert!(next.calls.wait_for(LIMIT, |c| (c.len() > 1).then_some(())).is_some());
     assert_eq!(
         next.calls.change(|c| c[..2].to_vec()),
-        ["/api/targets", "/api/targets?since=1&timeout_ms=10000"]
+        ["/api/targets", "/api/targets?since=1&timeout_ms=3000"]
     );
     assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
     assert_eq!(moved.seen.change(|s| s.queries.len()), 1);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,9 @@
 const IN_A_ROW: u32 = 3;
 /// What one call may take of a slow list's service. In a queue that outlasts its calls none is served.
 const TURN: Span = 30_000_000;
+/// A call that failed is made again within this time, however many proxies call: news counts as told 6 s after
+/// the list's service had it and could be reached, and the call and one more failure have to fit, too.
+const AGAIN: Span = 2_000_000_000;
 /// Mean latency, in aims, at which refusals begin, and at which all are refused.
 const SHED: (f64, f64) = (1.2, 2.1);
 
@@ -229,15 +232,14 @@
 
     /// The span over which all proxies' calls to the list's one service are spread: a turn for each.
     fn turns(&self) -> Span {
-        TURN.saturating_mul(Span::from(self.set.proxies)).max(self.tick)
+        TURN.saturating_mul(Span::from(self.set.proxies)).min(AGAIN).max(self.tick)
     }
 
     fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Failed {
             // A subscription breaks for all proxies at once: each renews it at a drawn time. While calls
-            // keep failing the span grows, up to the time for which an old list may be kept.
-            let grown = self.turns().saturating_mul(1 << self.failures.min(6));
-            let span = grown.min(self.set.rules.ask_every.max(self.tick));
+            // keep failing the span grows, but when the service can be reached again is not told.
+            let span = self.turns().saturating_mul(1 << self.failures.min(6)).min(AGAIN).max(self.tick);
             self.subscribe_at = Some(now + self.rng.within(span));
             self.failures += 1;
             return;
--- a/standin/src/discovery.rs
+++ b/standin/src/discovery.rs
@@ -37,6 +37,8 @@
     pub calls: Watched<Vec<String>>,
     /// How it answers.
     pub manner: Watched<Manner>,
+    /// Connections made before the newest count are open and say nothing more.
+    mute: Watched<u64>,
 }
 
 impl Discovery {
@@ -50,15 +52,15 @@
         let listener = TcpListener::bind(at).expect("a port for discovery");
         let address = listener.local_addr().expect("an address");
         let (list, calls) = (Watched::new((1, list)), Watched::new(Vec::new()));
-        let manner = Watched::new(Manner::Proper);
-        let (l, c, h) = (list.clone(), calls.clone(), manner.clone());
+        let (manner, mute) = (Watched::new(Manner::Proper), Watched::new(0));
+        let (l, c, h, m) = (list.clone(), calls.clone(), manner.clone(), mute.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (l, c, h) = (l.clone(), c.clone(), h.clone());
-                std::thread::spawn(move || Self::serve(stream, &l, &c, &h));
+                let (l, c, h, m) = (l.clone(), c.clone(), h.clone(), m.clone());
+                std::thread::spawn(move || Self::serve(stream, &l, &c, &h, &m));
             }
         });
-        Discovery { address, list, calls, manner }
+        Discovery { address, list, calls, manner, mute }
     }
 
     fn serve(
@@ -66,7 +68,9 @@
         list: &Watched<(u64, Option<Vec<Value>>)>,
         calls: &Watched<Vec<String>>,
         manner: &Watched<Manner>,
+        mute: &Watched<u64>,
     ) -> Option<()> {
+        let made = mute.change(|m| *m);
         let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
         loop {
             let path = lines.next()?.ok()?.split(' ').nth(1)?.to_owned();
@@ -78,6 +82,11 @@
             let manner = manner.wait_for(LIMIT, |m| (*m != Manner::Silent).then_some(*m))?;
             let hasty = manner == Manner::Hasty;
             list.wait_for(wait, |(rev, l)| (hasty || *rev > since || l.is_none()).then_some(()));
+            if mute.change(|m| *m) != made {
+                // Open and quiet, as behind a cut link.
+                let _ = lines.next();
+                return None;
+            }
             let body = list.change(|(rev, l)| {
                 l.as_ref().map(|l| {
                     let none = Vec::new();
@@ -111,6 +120,11 @@
         }
     }
 
+    /// All connections made so far fall silent, and stay open.
+    pub fn mute(&self) {
+        self.mute.change(|m| *m += 1);
+    }
+
     /// Tells a new list, under the next version.
     pub fn publish(&self, targets: Vec<Value>) {
         self.list.change(|l| *l = (l.0 + 1, Some(targets)));
