Start pipelined simple queries as they come, and begin nothing for a client that has left

Ruled out: load (0.02 CPU seconds a second), refusals, dials. At fault: router/src/client.rs `session` and `on_query`, one query at a time.

statements/src/queue.rs now holds a client's simple queries: they start as they are read (32 at once, 128 and 32 KiB read), answers keep their order, and a session's write keeps its place among the requests of that session. Their time counts from when they were read.

With it, from the review of what is still owed or already void: - A client's end is looked for behind 64 KiB of what it has sent, and beyond that by asking whether it has hung up. A mark that its task raises in that instant is read by the decider, by the peer that waits for a connection, and right before the first byte. - An attempt that was never written is withdrawn whatever the settings say of cancelling, and does not count as one that may have run. - The drain rule is checked again in the step that writes. - A connection that the router closes between requests gets a last look, is shut down for writing, drained for 0.5 s at the most, and only then closed. - After SIGTERM a half-read request is waited for, nothing is read 0.6 s after the signal, and all is answered before the process may be killed.

--- a/router/src/buffer.rs
+++ b/router/src/buffer.rs
@@ -3,7 +3,7 @@
 use async_io::Async;
 use futures_lite::AsyncReadExt as _;
 use std::cell::Cell;
-use std::io;
+use std::io::{self, Read as _};
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -84,6 +84,13 @@
         Ok(&mut self.data[self.end..])
     }
 
+    /// Reads what has come, without waiting for more.
+    pub fn fill_now(&mut self, mut stream: &TcpStream) -> io::Result<usize> {
+        let n = stream.read(self.room()?)?;
+        self.end += n;
+        Ok(n)
+    }
+
     /// Reads once; 0 is the end of the stream. Nothing is lost if the future is dropped while it waits.
     pub async fn fill(&mut self, mut stream: &Async<TcpStream>) -> io::Result<usize> {
         let n = stream.read(self.room()?).await?;
--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -1,11 +1,12 @@
 //! The clients' side: the listener, and one task for each connection.
 
 mod pipeline;
+mod simple;
 
 use crate::buffer::Buffer;
 use crate::counters::count;
 use crate::edge::Mode;
-use crate::exchange::{Answer, Incoming, Message, Reply, ReplyTo};
+use crate::exchange::{Answer, Incoming, Left, Reply};
 use crate::log::CloseReason;
 use crate::shared::{Cancel, Holder, Shared, Slot, Tally};
 use async_executor::LocalExecutor;
@@ -13,13 +14,14 @@
 use futures_lite::AsyncWriteExt as _;
 use futures_lite::future::or;
 use pipeline::Pipeline;
-use reelrill::{RequestId, Time};
+use reelrill::Time;
 use reelrill_pgwire::frame::{self, FrameError};
 use reelrill_pgwire::frontend::{self, CommandError, Startup};
 use reelrill_pgwire::{backend, code};
-use reelrill_statements::Wrong;
-use reelrill_statements::admit::{Admitted, Named};
-use reelrill_statements::bound::{Ask, Simple};
+use reelrill_statements::admit::Admitted;
+use reelrill_statements::bound::Ask;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use simple::Simples;
 use slog::{info, warn};
 use std::io::{ErrorKind, Read as _};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -42,8 +44,12 @@
 const PACE: Duration = Duration::from_millis(3);
 /// While the router is ending, how long a new connection may take to send its first request.
 const FIRST_REQUEST: Duration = Duration::from_millis(400);
-/// What a client may send ahead while it waits for an answer.
-const AHEAD: usize = 16 * 1024;
+/// How long the rest of what a client sends is thrown away where the router closes a connection between requests.
+const CLOSING: Duration = Duration::from_millis(500);
+/// What a client may send ahead while it waits for an answer. Its end can only be read behind what it has sent.
+const AHEAD: usize = 64 * 1024;
+/// Where nothing more is read, how often it is asked whether the client has hung up.
+const HANG_UP: Duration = Duration::from_millis(25);
 
 /// Accepts until the process ends. Without a free slot, connections wait in the kernel's backlog.
 pub async fn listen(shared: Rc<Shared>, executor: Rc<LocalExecutor<'static>>, listener: Async<TcpListener>) {
@@ -88,10 +94,28 @@
     let (buffer, fresh) = (Buffer::new(&shared.memory), Some(fresh));
     let cancel = Rc::new(Cancel::default());
     let pipeline = (shared.config.edge.extended.mode != Mode::Off).then(|| Pipeline::new(&shared));
-    let (begun, is_skipping, process) = (None, false, None);
-    let mut client =
-        Client { shared, stream, buffer, accepted, fresh, begun, is_skipping, pipeline, cancel, process };
+    let (begun, is_skipping, process, has_ended) = (None, false, None, false);
+    let simple = Simples::new();
+    let mut client = Client {
+        shared,
+        stream,
+        buffer,
+        accepted,
+        fresh,
+        begun,
+        has_ended,
+        is_skipping,
+        simple,
+        pipeline,
+        cancel,
+        process,
+    };
     let reason = client.session().await.err().unwrap_or(CloseReason::Terminate);
+    if reason.is_ours() {
+        // One that has never asked anything is not likely to do so just now, and its place is wanted.
+        let is_useless = client.fresh.is_some() && reason == CloseReason::Evicted;
+        client.linger(if is_useless { CLOSING / 25 } else { CLOSING }).await;
+    }
     if let Some(process) = client.process {
         client.shared.cancels.remove(process);
     }
@@ -107,6 +131,10 @@
     fresh: Option<Tally>,
     /// When a part of a message came whose rest has not.
     begun: Option<Time>,
+    /// The client has ended its sending: nothing more will come.
+    has_ended: bool,
+    /// Its simple queries that have no answer yet.
+    simple: Simples,
     /// Extended commands are passed over up to the Sync that ends them.
     is_skipping: bool,
     /// Its prepared statements and what it has pipelined, where extended queries are spoken.
@@ -117,9 +145,9 @@
     process: Option<u32>,
 }
 
-/// What a client waits for, or that it has gone.
-enum Waited<T> {
-    Done(T),
+/// What a connection between messages waits for, or what has come.
+enum Waited {
+    Done(CloseReason),
     Read(std::io::Result<usize>),
 }
 
@@ -146,17 +174,11 @@
                     }
                     self.run_pipeline().await?;
                 }
-                b'Q' => {
-                    let text = backend::only_text(body).map(str::to_owned);
-                    self.buffer.consume(len);
-                    match text {
-                        Some(text) => {
-                            self.is_skipping = false;
-                            self.on_query(&text).await?;
-                        }
-                        None => return Err(self.fatal("a query that is no text").await),
-                    }
+                b'Q' if backend::only_text(body).is_some() => {
+                    self.is_skipping = false;
+                    self.run_simple().await?;
                 }
+                b'Q' => return Err(self.fatal("a query that is no text").await),
                 b'X' => return Ok(()),
                 // A client that has pipelined other commands gets its error at the Sync that ends them.
                 b'S' => {
@@ -222,11 +244,45 @@
         }
     }
 
+    /// Reads what has come, up to what may be read ahead, without waiting for more.
+    fn look(&mut self) -> Result<(), CloseReason> {
+        while !self.has_ended && self.buffer.bytes().len() < AHEAD && !self.shared.is_closed_to_new() {
+            match self.buffer.fill_now(self.stream.get_ref()) {
+                Ok(n) => self.has_ended = n == 0,
+                Err(e) => match e.kind() {
+                    ErrorKind::Interrupted => {}
+                    // Without memory it waits, as with a full buffer.
+                    ErrorKind::WouldBlock | ErrorKind::OutOfMemory => return Ok(()),
+                    _ => return Err(CloseReason::Reset),
+                },
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether its client has gone: it has closed the connection, or said goodbye behind what it has sent.
+    fn has_left(&self) -> bool {
+        let mut rest = self.buffer.bytes();
+        while let Ok(Some((tag, _, len))) = frame::command(rest, self.pipeline.is_some()) {
+            if tag == b'X' {
+                return true;
+            }
+            rest = &rest[len..];
+        }
+        self.has_ended
+    }
+
     /// Waits for more of the next message. Between messages the router may close the connection, but only
     /// after a look at what has come: a request that was read is answered.
     async fn next(&mut self) -> Result<(), CloseReason> {
         let shared = self.shared.clone();
         let is_between = self.buffer.bytes().is_empty();
+        if self.has_ended {
+            return Err(if is_between { CloseReason::Eof } else { CloseReason::Truncated });
+        }
+        if is_between && shared.is_closed_to_new() {
+            return Err(CloseReason::Shutdown);
+        }
         let resting = if self.pipeline.as_ref().is_some_and(Pipeline::has_state) {
             Holder::Stateful
         } else {
@@ -256,6 +312,10 @@
             Waited::Done(CloseReason::Evicted)
         };
         let ending = async {
+            // What has begun to come is waited for: once its last byte is here, it is owed an answer.
+            if !is_between {
+                futures_lite::future::pending::<()>().await;
+            }
             shared.ending.wait().await;
             if self.fresh.is_some() {
                 // Its client would meet the same on any further connection, and lose its first request.
@@ -268,6 +328,13 @@
             Waited::Read(Err(e)) if e.kind() == ErrorKind::OutOfMemory => Err(self.no_memory().await),
             Waited::Read(read) => self.gone(&read).map_or(Ok(()), Err),
             Waited::Done(reason) => {
+                // Decided and done in one step: what has come up to now is served first.
+                let before = self.buffer.bytes().len();
+                self.look()?;
+                if self.buffer.bytes().len() > before && is_between {
+                    count(&shared.counters.reprieved);
+                    return Ok(());
+                }
                 if reason == CloseReason::Evicted {
                     count(&shared.counters.evicted);
                 }
@@ -276,56 +343,8 @@
         }
     }
 
-    async fn on_query(&mut self, text: &str) -> Result<(), CloseReason> {
-        self.shared.last_arrival.set(self.shared.clock.now());
-        self.fresh = None;
-        if let Some(pipeline) = &mut self.pipeline {
-            pipeline.on_simple();
-        }
-        let mut out = Vec::new();
-        if text.trim_matches(|c: char| c.is_whitespace() || c == ';').is_empty() {
-            // The front sends clients once this is answered: only a router that can serve says so.
-            let shared = self.shared.clone();
-            self.attend(shared.ready.wait()).await?;
-            reelrill_pgwire::put(&mut out, b'I', &[]);
-        } else {
-            match self.read_request(text) {
-                Ok(incoming) => {
-                    self.cancel.reset();
-                    match self.ask(incoming).await? {
-                        Reply::Served(answer) => put_answer(&mut out, &answer),
-                        other => put_failure(&mut out, &other),
-                    }
-                }
-                Err(e) => match self.pipeline.as_mut().and_then(|p| p.simple(text)) {
-                    Some(Ok(tag)) => backend::put_complete(&mut out, tag),
-                    Some(Err(e)) => self.put_wrong(&mut out, &e),
-                    // Whatever it is, a simple query that is none of ours has this code.
-                    None => {
-                        count(&self.shared.counters.rejected);
-                        backend::put_error(&mut out, false, code::SYNTAX, &e.to_string(), None);
-                    }
-                },
-            }
-        }
-        backend::put_ready(&mut out);
-        self.write(&out).await
-    }
-
-    fn put_wrong(&self, out: &mut Vec<u8>, wrong: &Wrong) {
-        count(&self.shared.counters.rejected);
-        backend::put_error(out, false, wrong.code(), &wrong.to_string(), None);
-    }
-
-    fn read_request(&self, text: &str) -> Result<Incoming, Wrong> {
-        let (named, digits) = Named::simple(text)?;
-        let admitted = self.shared.common.catalog.admit(&named)?;
-        let ask = Rc::new(Ask::Simple(Simple::new(text.as_bytes().to_vec(), digits)));
-        Ok(self.incoming(&admitted, ask))
-    }
-
-    /// A request whose turn begins now.
-    fn incoming(&self, admitted: &Admitted, ask: Rc<Ask>) -> Incoming {
+    /// A request that was read at `arrived`.
+    fn incoming(&self, admitted: &Admitted, ask: Rc<Ask>, arrived: Time, left: Left) -> Incoming {
         Incoming {
             request: self.shared.next_request(),
             id: admitted.id.unwrap_or_else(rand::random),
@@ -335,64 +354,9 @@
             after: admitted.after,
             is_retry: admitted.is_retry,
             wait: admitted.wait,
-            arrived: self.shared.clock.now(),
+            arrived,
             ask,
-        }
-    }
-
-    /// Hands the request to the decider and waits for its one answer, with an eye on the client.
-    async fn ask(&mut self, incoming: Incoming) -> Result<Reply, CloseReason> {
-        // Its client may have gone while it waited in the backlog: instances must not work for nobody.
-        if self.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n == 0) {
-            return Err(CloseReason::LeftWaiting);
-        }
-        let request: RequestId = incoming.request;
-        let (to, answered) = async_channel::bounded(1);
-        let shared = self.shared.clone();
-        if shared.decider.send(Message::Request { incoming, reply: ReplyTo { part: 0, to } }).await.is_err() {
-            return Ok(Reply::Failed("the router is ending"));
-        }
-        let cancel = self.cancel.clone();
-        let cancelled = async {
-            cancel.wait().await;
-            None
-        };
-        let answer = async { Some(answered.recv().await.map(|(_, reply)| reply)) };
-        match self.attend(or(answer, cancelled)).await {
-            Ok(Some(reply)) => Ok(reply.unwrap_or(Reply::Failed("the router is ending"))),
-            // The decider ends last; without it there is nobody to tell.
-            Ok(None) => {
-                let _ = shared.decider.send(Message::ClientLeft { request }).await;
-                Ok(Reply::Cancelled)
-            }
-            Err(reason) => {
-                let _ = shared.decider.send(Message::ClientLeft { request }).await;
-                Err(reason)
-            }
-        }
-    }
-
-    /// Waits while reading on: an end, a reset or a goodbye meanwhile means that the client has left.
-    async fn attend<T>(&mut self, what: impl Future<Output = T>) -> Result<T, CloseReason> {
-        let mut what = std::pin::pin!(what);
-        loop {
-            if matches!(frame::command(self.buffer.bytes(), self.pipeline.is_some()), Ok(Some((b'X', ..)))) {
-                return Err(CloseReason::LeftWaiting);
-            }
-            // What is pipelined stays in the buffer, which must not grow without an end.
-            let full = self.buffer.bytes().len() >= AHEAD;
-            let read = async {
-                if full {
-                    futures_lite::future::pending::<()>().await;
-                }
-                Waited::Read(self.buffer.fill(&self.stream).await)
-            };
-            match or(async { Waited::Done(what.as_mut().await) }, read).await {
-                Waited::Done(done) => return Ok(done),
-                Waited::Read(Ok(0)) => return Err(CloseReason::LeftWaiting),
-                Waited::Read(Ok(_)) => {}
-                Waited::Read(Err(_)) => return Err(CloseReason::Reset),
-            }
+            left,
         }
     }
 
@@ -435,13 +399,13 @@
         let mut out = Vec::new();
         backend::put_error(&mut out, true, code, why, None);
         if self.write(&out).await.is_ok() {
-            self.linger().await;
+            self.linger(LINGER).await;
         }
     }
 
     /// Closes our side and throws away what still comes: to close with bytes unread would reset the connection,
     /// and the error might not arrive. Nothing is stored, and others get their turn after each piece.
-    async fn linger(&mut self) {
+    async fn linger(&mut self, longest: Duration) {
         self.buffer.release();
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
@@ -454,7 +418,7 @@
             }
         };
         let late = async {
-            Timer::after(LINGER).await;
+            Timer::after(longest).await;
         };
         let evicted = async {
             Timer::after(GRACE).await;
@@ -473,6 +437,29 @@
     }
 }
 
+/// Reads what a client sends ahead. Where nothing more may be read it waits until the client hangs up, which is told
+/// like an end: unread bytes would hide the end itself.
+async fn read_ahead(
+    shared: &Shared,
+    buffer: &mut Buffer,
+    stream: &Async<TcpStream>,
+) -> std::io::Result<usize> {
+    if buffer.bytes().len() < AHEAD && !shared.is_closed_to_new() {
+        match buffer.fill(stream).await {
+            Err(e) if e.kind() == ErrorKind::OutOfMemory => {}
+            read => return read,
+        }
+    }
+    loop {
+        Timer::after(HANG_UP).await;
+        let mut asked = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
+        let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        if poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(gone) {
+            return Ok(0);
+        }
+    }
+}
+
 /// A served answer to a simple query.
 fn put_answer(out: &mut Vec<u8>, answer: &Answer) {
     if let Some(c) = &answer.column {
--- a/router/src/client/pipeline.rs
+++ b/router/src/client/pipeline.rs
@@ -1,9 +1,9 @@
 //! A client that speaks extended queries: carries out what its plan decides. The order of things, what is skipped
 //! and what is owed is the plan's; here are the bytes, the decider's replies, and an eye on the client.
 
-use super::{AHEAD, Client, put_failure};
+use super::{Client, put_failure, read_ahead};
 use crate::counters::count;
-use crate::exchange::{Message, Reply, ReplyTo};
+use crate::exchange::{Left, Message, Reply, ReplyTo};
 use crate::log::CloseReason;
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
@@ -23,6 +23,7 @@
 struct Part {
     number: u64,
     request: RequestId,
+    left: Left,
     /// The format that its client wants its value in.
     result: Format,
 }
@@ -85,7 +86,8 @@
         let served = matches!(reply, Reply::Served(_));
         let called_off = self.plan.finish(part, reply, served);
         let is_off = |p: &mut Part| called_off.contains(&p.number);
-        self.parts.extract_if(.., is_off).map(|p| p.request).collect()
+        let called_off = self.parts.extract_if(.., is_off);
+        called_off.inspect(|p| p.left.raise()).map(|p| p.request).collect()
     }
 }
 
@@ -98,7 +100,9 @@
         let ended = self.flow().await;
         let Some(pipeline) = &mut self.pipeline else { return ended };
         // Only a client that has gone leaves parts behind.
-        for part in std::mem::take(&mut pipeline.parts) {
+        let parts = std::mem::take(&mut pipeline.parts);
+        parts.iter().for_each(|p| p.left.raise());
+        for part in parts {
             let _ = self.shared.decider.send(Message::ClientLeft { request: part.request }).await;
         }
         ended
@@ -107,6 +111,12 @@
     async fn flow(&mut self) -> Result<(), CloseReason> {
         let (mut out, mut is_due) = (Vec::new(), false);
         loop {
+            self.feed();
+            // Its end may stand behind what it has sent: nothing is begun for one that has gone.
+            self.look()?;
+            if self.has_left() && self.pipeline.as_ref().is_some_and(|p| !p.plan.is_idle()) {
+                return Err(CloseReason::LeftWaiting);
+            }
             self.feed();
             self.take_replies().await;
             self.start_parts().await;
@@ -124,11 +134,6 @@
             if is_idle {
                 return Ok(());
             }
-            if matches!(frame::command(self.buffer.bytes(), true), Ok(Some((b'X', ..)))) {
-                return Err(CloseReason::LeftWaiting);
-            }
-            // What is pipelined stays in the buffer, which must not grow without an end.
-            let is_full = self.buffer.bytes().len() >= AHEAD;
             let reply = async {
                 match pipeline.answers.recv().await {
                     Ok((part, reply)) => Woken::Reply(part, reply),
@@ -140,12 +145,8 @@
                 self.cancel.wait().await;
                 Woken::Cancelled
             };
-            let read = async {
-                if is_full {
-                    std::future::pending::<()>().await;
-                }
-                Woken::Read(self.buffer.fill(&self.stream).await)
-            };
+            // What is pipelined stays in the buffer, which must not grow without an end.
+            let read = async { Woken::Read(read_ahead(&self.shared, &mut self.buffer, &self.stream).await) };
             match or(reply, or(cancelled, read)).await {
                 Woken::Reply(part, reply) => self.finish(part, reply).await,
                 Woken::Cancelled => {
@@ -203,6 +204,7 @@
         let mut requests = Vec::new();
         match pipeline.parts.iter().find(|p| p.number == part) {
             Some(out) => {
+                out.left.raise();
                 requests.push(out.request);
                 requests.extend(pipeline.on_reply(part, Reply::Cancelled));
             }
@@ -216,10 +218,12 @@
 
     async fn start_parts(&mut self) {
         while let Some(start) = self.pipeline.as_mut().and_then(|p| p.plan.start()) {
-            let incoming = self.incoming(&start.admitted, start.ask);
+            let left = Left::default();
+            let now = self.shared.clock.now();
+            let incoming = self.incoming(&start.admitted, start.ask, now, left.clone());
             let Some(pipeline) = &mut self.pipeline else { return };
             let (request, result) = (incoming.request, start.result);
-            pipeline.parts.push(Part { number: start.part, request, result });
+            pipeline.parts.push(Part { number: start.part, request, left, result });
             let reply = ReplyTo { part: start.part, to: pipeline.to.clone() };
             if self.shared.decider.send(Message::Request { incoming, reply }).await.is_err() {
                 self.finish(start.part, Reply::Failed("the router is ending")).await;
--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -26,8 +26,8 @@
 counters! {
     /// Client connections accepted, and the times that there was no descriptor for one.
     clients, accept_errors,
-    /// Idle client connections closed to make room.
-    evicted,
+    /// Idle client connections closed to make room; connections on which something came just as they were to be closed.
+    evicted, reprieved,
     /// Requests taken in, and statements that were none.
     requests, rejected,
     /// Final answers, by kind; clients that left first; answers that the brain left overdue.
@@ -37,6 +37,9 @@
     gave_unfit,
     /// Attempts, by how they ended.
     attempts, ok, errors, full, timed_out, connect_failed, reset, cancelled, moot, missed, spoilt, unsent, unfit,
+    /// Attempts that were given up before they were written, so that nothing has run, and those of them whose client
+    /// had gone; requests whose client had gone before they were looked at.
+    unwritten, withdrawn, left_unread,
     /// Statements prepared on connections to instances, and those of them that an instance had forgotten.
     prepared, reprepared,
     /// Clients' requests to call something off, and those that named an open request.
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -2,7 +2,7 @@
 //! of requests, attempt numbers, timers and deadlines. It never waits for another actor.
 
 use crate::counters::count;
-use crate::exchange::{Attempt, Call, Ended, Incoming, Listed, Message, Reply, ReplyTo};
+use crate::exchange::{Attempt, Call, Ended, Incoming, Left, Listed, Message, Reply, ReplyTo, Written};
 use crate::peer::{self, Handle, Order};
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
@@ -24,6 +24,7 @@
     number: u32,
     member: MemberId,
     sent: Time,
+    written: Written,
     _hold: Sender<()>,
 }
 
@@ -34,6 +35,7 @@
     reply: Option<ReplyTo>,
     deadline: Time,
     ask: Rc<Ask>,
+    left: Left,
     class: u32,
     sends: u32,
     out: Vec<Out>,
@@ -104,6 +106,17 @@
         }
     }
 
+    /// The router is ending: whatever is open has its answer before the process may be killed.
+    fn on_ending(&mut self) {
+        let Some(last) = self.shared.last_answer() else { return };
+        for (request, open) in &mut self.open {
+            if open.deadline > last {
+                open.deadline = last;
+                self.due.push(Reverse((last, Due::Deadline(*request))));
+            }
+        }
+    }
+
     fn on_due(&mut self) {
         let now = self.shared.clock.now();
         while let Some(Reverse((at, _))) = self.due.peek()
@@ -133,7 +146,9 @@
         if let Some(open) = self.open.get(&request).filter(|o| o.reply.is_some()) {
             count(&self.shared.counters.overdue);
             warn!(self.shared.log, "overdue"; "request" => format_args!("{:016x}", open.id));
-            self.answer(request, Reply::Failed("no answer in time"));
+            let has_run = open.sends > 0;
+            let never = Reply::Refused { retry_after: None };
+            self.answer(request, if has_run { Reply::Failed("no answer in time") } else { never });
             self.events.push_back(Event::ClientLeft { request });
         }
     }
@@ -145,6 +160,8 @@
                 if self.conclude(request).is_some() {
                     count(&self.shared.counters.client_left);
                     self.events.push_back(Event::ClientLeft { request });
+                    self.settle();
+                    self.withdraw(request);
                 }
             }
             Message::Ended { request, attempt, ended } => self.resolve(request, attempt, ended),
@@ -153,12 +170,28 @@
                 self.events.push_back(Event::Probed { member, ending: ended.ending, report });
             }
             Message::List { kind, listed } => self.on_list(kind, listed),
+            Message::Ending => self.on_ending(),
+        }
+    }
+
+    /// What was never written is called off whatever the settings say of cancelling: the instance knows nothing of it.
+    fn withdraw(&mut self, request: RequestId) {
+        let Some(open) = self.open.get(&request) else { return };
+        let unwritten: Vec<u32> =
+            open.out.iter().filter(|a| !a.written.is_raised()).map(|a| a.number).collect();
+        for number in unwritten {
+            self.resolve(request, number, Ended::silent(Ending::Moot));
         }
     }
 
     fn on_request(&mut self, incoming: Incoming, reply: ReplyTo) {
         count(&self.shared.counters.requests);
         let (request, id) = (incoming.request, incoming.id);
+        if incoming.left.is_raised() {
+            // Its client has gone while it waited here: nothing is owed, and nothing begins.
+            count(&self.shared.counters.client_left);
+            return count(&self.shared.counters.left_unread);
+        }
         if !self.named.insert(id) {
             // An id names one request: instances would take a second one under it for its copy.
             count(&self.shared.counters.rejected);
@@ -167,8 +200,9 @@
         }
         let now = self.shared.clock.now();
         let deadline = incoming.arrived.saturating_add(incoming.wait.saturating_sub(MARGIN));
-        let (ask, class) = (incoming.ask, incoming.class);
-        let open = Open { id, reply: Some(reply), deadline, ask, class, sends: 0, out: Vec::new() };
+        let deadline = self.shared.last_answer().map_or(deadline, |last| deadline.min(last));
+        let (ask, left, class) = (incoming.ask, incoming.left, incoming.class);
+        let open = Open { id, reply: Some(reply), deadline, ask, left, class, sends: 0, out: Vec::new() };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline, Due::Deadline(request))));
         self.events.push_back(Event::Request(Request {
@@ -290,12 +324,20 @@
         let number = open.sends;
         open.sends += 1;
         let (hold, given_up) = async_channel::bounded(1);
-        open.out.push(Out { number, member: member.clone(), sent: now, _hold: hold });
+        let written = Written::default();
+        open.out.push(Out {
+            number,
+            member: member.clone(),
+            sent: now,
+            written: written.clone(),
+            _hold: hold,
+        });
         if open.reply.is_none() || now >= open.deadline || number >= most {
             return self.resolve(request, number, Ended::silent(Ending::Moot));
         }
         let until = limit.map_or(open.deadline, |l| open.deadline.min(now.saturating_add(l)));
-        let attempt = Attempt { request, number, ask: open.ask.clone(), until, given_up };
+        let left = open.left.clone();
+        let attempt = Attempt { request, number, ask: open.ask.clone(), until, given_up, left, written };
         let unordered = match self.peers.get(&member) {
             Some(peer) => peer.orders.try_send(Order::Attempt(attempt)).err().map(|_| Ending::Unsent),
             None => Some(Ending::ConnectFailed),
@@ -314,7 +356,17 @@
         let Some(at) = open.out.iter().position(|a| a.number == number) else { return };
         let out = open.out.swap_remove(at);
         let c = &self.shared.counters;
-        count(match ended.ending {
+        let mut ending = ended.ending;
+        if !out.written.is_raised() && matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Moot) {
+            // It was still waiting for a connection, or on its way into one that is dropped now: it has never run.
+            count(&c.unwritten);
+            let is_left = open.left.is_raised();
+            if is_left {
+                count(&c.withdrawn);
+            }
+            ending = if is_left || ending == Ending::Moot { Ending::Moot } else { Ending::Unsent };
+        }
+        count(match ending {
             Ending::Served => &c.ok,
             Ending::Error => &c.errors,
             Ending::Full => &c.full,
@@ -331,7 +383,7 @@
         let latency = self.shared.clock.now().saturating_sub(out.sent);
         debug!(self.shared.log, "attempt ended"; "request" => format_args!("{:016x}", open.id),
                "class" => open.class, "number" => number, "member" => &*out.member,
-               "ending" => ?ended.ending, "ns" => latency);
+               "ending" => ?ending, "ns" => latency);
         if let Some(answer) = ended.answer {
             self.answer(request, Reply::Served(answer));
         }
@@ -340,7 +392,7 @@
             request,
             member: out.member,
             attempt: number,
-            ending: ended.ending,
+            ending,
             standing: ended.standing,
             report: ended.report,
             latency,
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -6,10 +6,40 @@
 use reelrill_membership::Source;
 use reelrill_pgwire::Format;
 use reelrill_statements::bound::Ask;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// Raised by the front in the instant in which a request's client has gone or called it off: from then on nothing
+/// begins for it, whatever still waits in a mailbox, for a connection or for a slot.
+#[derive(Debug, Clone, Default)]
+pub struct Left(Rc<Cell<bool>>);
+
+impl Left {
+    pub fn raise(&self) {
+        self.0.set(true);
+    }
+
+    pub fn is_raised(&self) -> bool {
+        self.0.get()
+    }
+}
+
+/// Raised by the connection once the last byte with which a request may run has been written.
+#[derive(Debug, Clone, Default)]
+pub struct Written(Rc<Cell<bool>>);
+
+impl Written {
+    pub fn raise(&self) {
+        self.0.set(true);
+    }
+
+    pub fn is_raised(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// A client's request as a front has read it.
 #[derive(Debug)]
 pub struct Incoming {
@@ -27,6 +57,7 @@
     pub wait: Span,
     pub arrived: Time,
     pub ask: Rc<Ask>,
+    pub left: Left,
 }
 
 /// The one final answer to a request.
@@ -93,11 +124,28 @@
 /// What goes into the decider's mailbox.
 #[derive(Debug)]
 pub enum Message {
-    Request { incoming: Incoming, reply: ReplyTo },
-    ClientLeft { request: RequestId },
-    Ended { request: RequestId, attempt: u32, ended: Ended },
-    Probed { member: MemberId, ended: Ended },
-    List { kind: ListKind, listed: Vec<Listed> },
+    Request {
+        incoming: Incoming,
+        reply: ReplyTo,
+    },
+    ClientLeft {
+        request: RequestId,
+    },
+    Ended {
+        request: RequestId,
+        attempt: u32,
+        ended: Ended,
+    },
+    Probed {
+        member: MemberId,
+        ended: Ended,
+    },
+    List {
+        kind: ListKind,
+        listed: Vec<Listed>,
+    },
+    /// SIGTERM has come.
+    Ending,
 }
 
 /// One attempt as a peer gets it.
@@ -110,6 +158,9 @@
     pub until: Time,
     /// Closed once the decider has given the attempt up.
     pub given_up: async_channel::Receiver<()>,
+    /// Its client has gone: what has not been written is not written any more.
+    pub left: Left,
+    pub written: Written,
 }
 
 /// What the decider asks of the roster.
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -52,6 +52,12 @@
 }
 
 impl CloseReason {
+    /// The router itself closes a connection between requests, of which something may be on its way.
+    pub fn is_ours(self) -> bool {
+        use CloseReason::{Evicted, Shutdown, Stalled, StartupTimeout};
+        matches!(self, Evicted | Shutdown | Stalled | StartupTimeout)
+    }
+
     pub fn code(self) -> &'static str {
         match self {
             CloseReason::Eof => "eof",
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -138,7 +138,13 @@
         match signal {
             Ok(Signal::Usr1) => info!(shared.log, "counters"; "all" => %shared.counters),
             Ok(Signal::Hup) => reload(shared, &place).await,
-            Ok(_) => shared.ending.raise(),
+            Ok(_) if shared.ending.is_raised() => info!(shared.log, "already ending"),
+            Ok(_) => {
+                shared.ended_at.set(Some(shared.clock.now()));
+                shared.ending.raise();
+                // The decider ends last.
+                let _ = shared.decider.send(exchange::Message::Ending).await;
+            }
             Err(e) => error!(shared.log, "signals"; "error" => %e),
         }
     }
--- a/router/src/peer/link.rs
+++ b/router/src/peer/link.rs
@@ -2,7 +2,7 @@
 
 use crate::buffer::Buffer;
 use crate::counters::count;
-use crate::exchange::{Answer, Column};
+use crate::exchange::{Answer, Column, Written};
 use crate::log::CloseReason;
 use crate::shared::{Shared, Slot};
 use async_io::{Async, Timer};
@@ -287,11 +287,11 @@
     }
 
     /// Asks for what a request wants, within the time that the router will wait.
-    pub async fn ask(&mut self, ask: &Ask, wait: Span) -> Result<Response, Fault> {
+    pub async fn ask(&mut self, ask: &Ask, wait: Span, sent: &Written) -> Result<Response, Fault> {
         match ask {
-            Ask::Simple(simple) => self.query(&simple.with_wait(wait)).await,
+            Ask::Simple(simple) => self.query(&simple.with_wait(wait), sent).await,
             Ask::Bound(bound) => {
-                let response = self.run(bound, wait).await?;
+                let response = self.run(bound, wait, sent).await?;
                 let forgot = response.code.as_deref() == Some(code::NO_STATEMENT);
                 if !forgot || !response.ready {
                     return Ok(response);
@@ -299,21 +299,21 @@
                 // It has lost the statement, and nothing has run: once more, with a Parse.
                 count(&self.shared.counters.reprepared);
                 self.prepared.forgotten(bound.template().id);
-                self.run(bound, wait).await
+                self.run(bound, wait, sent).await
             }
         }
     }
 
     /// Sends one query and reads all of its response.
-    pub async fn query(&mut self, text: &[u8]) -> Result<Response, Fault> {
+    pub async fn query(&mut self, text: &[u8], sent: &Written) -> Result<Response, Fault> {
         let mut out = Vec::with_capacity(text.len() + 6);
         frontend::put_query(&mut out, text);
         let runs_from = out.len();
-        self.exchange(&out, runs_from, Response::default()).await
+        self.exchange(&out, runs_from, sent, Response::default()).await
     }
 
     /// Runs a prepared statement: all that it needs here in one write, a Parse only where it is lacking.
-    async fn run(&mut self, bound: &Bound, wait: Span) -> Result<Response, Fault> {
+    async fn run(&mut self, bound: &Bound, wait: Span, sent: &Written) -> Result<Response, Fault> {
         let (template, mut out) = (bound.template(), Vec::new());
         let need = self.prepared.need(template.id);
         let name = template.name();
@@ -335,7 +335,7 @@
         let runs_from = out.len();
         frontend::put_sync(&mut out);
         let response = Response { confirms, is_prepared: true, ..Response::default() };
-        let response = self.exchange(&out, runs_from, response).await?;
+        let response = self.exchange(&out, runs_from, sent, response).await?;
         if need != Need::Ready && response.confirms.len() < b"12".len() {
             self.prepared.confirmed(template.id);
         }
@@ -343,11 +343,12 @@
     }
 
     /// Writes what asks for one response, and reads all of it. Once the bytes up to `runs_from` are written, the
-    /// request may run.
+    /// request may run, and `sent` says so.
     async fn exchange(
         &mut self,
         out: &[u8],
         runs_from: usize,
+        sent: &Written,
         mut response: Response,
     ) -> Result<Response, Fault> {
         // Looked at again right before the write: what came unasked would be taken for this query's answer.
@@ -358,7 +359,12 @@
         let mut written = 0;
         while written < out.len() {
             match (&self.stream).write(&out[written..]).await {
-                Ok(n) if n > 0 => written += n,
+                Ok(n) if n > 0 => {
+                    written += n;
+                    if written >= runs_from {
+                        sent.raise();
+                    }
+                }
                 _ => {
                     self.reason = CloseReason::Reset;
                     return Err(if written < runs_from { Fault::NotWritten } else { Fault::Broken });
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -3,7 +3,7 @@
 mod link;
 
 use crate::counters::count;
-use crate::exchange::{Attempt, Ended, Message};
+use crate::exchange::{Attempt, Ended, Message, Written};
 use crate::log::CloseReason;
 use crate::shared::{Holder, Shared};
 use async_channel::{Receiver, Sender};
@@ -35,6 +35,21 @@
     pub leaving: Cell<Option<Time>>,
 }
 
+impl Told {
+    /// It leaves, and the grace for what is on its way is over.
+    fn is_closed_to_new(&self, shared: &Shared) -> bool {
+        let grace = shared.config.site.settings.rules.drain_grace as f64;
+        self.leaving.get().is_some_and(|t| shared.clock.now() > t + (grace * DRAIN) as u64)
+    }
+}
+
+impl Attempt {
+    /// Neither given up by the decider nor left by its client.
+    fn is_wanted(&self) -> bool {
+        !self.given_up.is_closed() && !self.left.is_raised()
+    }
+}
+
 pub enum Order {
     Attempt(Attempt),
     Probe,
@@ -240,11 +255,10 @@
 
     /// Gives idle connections to those that wait, and dials for the rest.
     async fn dispatch(&mut self, retire: u64) {
-        self.waiting.retain(|(_, job)| job.as_ref().is_none_or(|a| !a.given_up.is_closed()));
-        let grace = self.shared.config.site.settings.rules.drain_grace as f64;
+        self.waiting.retain(|(_, job)| job.as_ref().is_none_or(Attempt::is_wanted));
         let now = self.shared.clock.now();
         // The grace counts to the first byte: what waited for a connection meanwhile may be too late.
-        if self.told.leaving.get().is_some_and(|t| now > t + (grace * DRAIN) as u64) {
+        if self.told.is_closed_to_new(&self.shared) {
             while let Some((_, job)) = self.waiting.pop_front() {
                 self.unsent(job, Ending::Unsent).await;
             }
@@ -274,16 +288,22 @@
     fn begin(&self, link: Link, job: Job) {
         let (shared, news, member) = (self.shared.clone(), self.news.clone(), self.member.clone());
         match job {
-            Some(a) => self.executor.spawn(attempt(shared, news, link, a)).detach(),
+            Some(a) => self.executor.spawn(attempt(shared, self.told.clone(), news, link, a)).detach(),
             None => self.executor.spawn(probe(shared, news, link, member)).detach(),
         }
     }
 }
 
 /// One attempt on its connection. Given up, it drops the connection: a late answer has nowhere to go.
-async fn attempt(shared: Rc<Shared>, news: Sender<News>, mut link: Link, a: Attempt) {
-    if a.given_up.is_closed() {
+async fn attempt(shared: Rc<Shared>, told: Rc<Told>, news: Sender<News>, mut link: Link, a: Attempt) {
+    // Looked at again in the step in which the first byte is written: this task may have waited for its turn.
+    if !a.is_wanted() || told.is_closed_to_new(&shared) {
         let _ = news.send(News::Back(link)).await;
+        if a.is_wanted() {
+            let ended = Ended::silent(Ending::Unsent);
+            let _ =
+                shared.decider.send(Message::Ended { request: a.request, attempt: a.number, ended }).await;
+        }
         return;
     }
     let wait = a.until.saturating_sub(shared.clock.now());
@@ -292,7 +312,9 @@
         let _ = a.given_up.recv().await;
         None
     };
-    let Some(result) = or(async { Some(link.ask(&a.ask, wait).await) }, given_up).await else { return };
+    let Some(result) = or(async { Some(link.ask(&a.ask, wait, &a.written).await) }, given_up).await else {
+        return;
+    };
     let ended = match result {
         Err(Fault::Stale) => Ended::silent(Ending::Unsent),
         Err(Fault::NotWritten) => Ended::silent(Ending::ConnectFailed),
@@ -317,7 +339,7 @@
         Timer::after(limit).await;
         None
     };
-    let ended = match or(async { Some(link.query(b"SHOW gauges").await) }, late).await {
+    let ended = match or(async { Some(link.query(b"SHOW gauges", &Written::default()).await) }, late).await {
         None => Ended::silent(Ending::TimedOut),
         Some(Err(_)) => Ended::silent(Ending::Reset),
         Some(Ok(response)) => {
--- a/router/src/shared.rs
+++ b/router/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::edge::Mode;
 use crate::exchange::{Message, News};
 use event_listener::{Event, IntoNotification as _};
-use reelrill::{MemberId, Time};
+use reelrill::{MemberId, Span, Time};
 use reelrill_statements::account::Accounts;
 use reelrill_statements::admit::Catalog;
 use reelrill_statements::plan::Common;
@@ -185,6 +185,10 @@
         self.event.notify(usize::MAX);
     }
 
+    pub fn is_raised(&self) -> bool {
+        self.set.get()
+    }
+
     pub async fn wait(&self) {
         while !self.set.get() {
             self.event.listen().await;
@@ -205,6 +209,8 @@
     pub ready: Flag,
     /// SIGTERM has come.
     pub ending: Flag,
+    /// When.
+    pub ended_at: Cell<Option<Time>>,
     /// When a connection or a request last came in.
     pub last_arrival: Cell<Time>,
     pub decider: async_channel::Sender<Message>,
@@ -286,6 +292,12 @@
 /// The part of the memory limit for large buffers. What a buffer holds may be copied twice on its way (statement,
 /// attempt), and the rest of the process needs some 5 MB.
 const LARGE: (usize, usize) = (1, 5);
+/// Of the longest deadline, what counts at the end of the process; the time beyond it in which the last answer goes
+/// out; and the time after which no further request is read: one that comes 0.7 s after the signal must be answered
+/// before the process is killed.
+const LONGEST_END: Span = 3_000_000_000;
+const LAST_ANSWER: Span = 500_000_000;
+const LAST_READ: Span = 600_000_000;
 /// What is thrown away is read in pieces of this size.
 const SCRATCH: usize = 64 * 1024;
 
@@ -316,6 +328,7 @@
             counters: Counters::default(),
             ready: Flag::default(),
             ending: Flag::default(),
+            ended_at: Cell::new(None),
             last_arrival: Cell::new(clock.now()),
             clock,
             decider,
@@ -334,6 +347,18 @@
         }
     }
 
+    /// While the router is ending: when the last answer must be out. The process is killed no sooner than the longest
+    /// deadline and 0.7 s after it was told to end, and of the deadline only 3 s count.
+    pub fn last_answer(&self) -> Option<Time> {
+        let longest = self.config.site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        self.ended_at.get().map(|at| at.saturating_add(longest.min(LONGEST_END)).saturating_add(LAST_ANSWER))
+    }
+
+    /// While the router is ending, no further request is read after this time.
+    pub fn is_closed_to_new(&self) -> bool {
+        self.ended_at.get().is_some_and(|at| self.clock.now() > at.saturating_add(LAST_READ))
+    }
+
     /// A name for a request that no other has.
     pub fn next_request(&self) -> u64 {
         self.requests.set(self.requests.get() + 1);
--- a/statements/src/lib.rs
+++ b/statements/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod form;
 pub mod plan;
 pub mod prepared;
+pub mod queue;
 pub mod template;
 
 use reelrill_pgwire::code;
--- /dev/null
+++ b/statements/src/queue.rs
@@ -0,0 +1,168 @@
+//! The simple queries of one client that have been read and not answered: which may start, and what is said next.
+//!
+//! A client may send further queries before the first is answered, and the time that it waits counts from the sending
+//! of each. So they are started as they come, and only their answers keep their order. Two requests of one session keep
+//! theirs where one of them writes: a session's read behind its own write sees it.
+
+use crate::admit::Admitted;
+use crate::bound::Ask;
+use reelrill::Time;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// Bounds of one client's queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Queries that have been read and not answered.
+    pub queries: usize,
+    /// The bytes of their texts. One query may be larger.
+    pub bytes: usize,
+    /// Requests that run at once.
+    pub running: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { queries: 128, bytes: 32 * 1024, running: 32 }
+    }
+}
+
+enum State<A> {
+    Waiting { ask: Rc<Ask>, arrived: Time },
+    Running,
+    Done(A),
+}
+
+enum Item<A, S> {
+    Request {
+        admitted: Admitted,
+        state: State<A>,
+    },
+    /// Said without an instance.
+    Said(S),
+}
+
+/// A request that is to start now.
+#[derive(Debug)]
+pub struct Start {
+    /// Its number, for [`Queue::finish`].
+    pub part: u64,
+    /// What the decider is told.
+    pub admitted: Admitted,
+    /// What instances are asked.
+    pub ask: Rc<Ask>,
+    /// When it was read.
+    pub arrived: Time,
+}
+
+/// What a client gets next.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Output<A, S> {
+    /// The final answer of a request.
+    Answer(A),
+    /// What was put into the queue to be said.
+    Said(S),
+}
+
+/// Queries in the order in which they came; `A` is a final answer, `S` what is said without an instance.
+pub struct Queue<A, S> {
+    limits: Limits,
+    items: VecDeque<(usize, Item<A, S>)>,
+    /// The number of the first item.
+    first: u64,
+    bytes: usize,
+    running: usize,
+}
+
+impl<A, S> Queue<A, S> {
+    /// An empty queue.
+    pub fn new(limits: Limits) -> Queue<A, S> {
+        Queue { limits, items: VecDeque::new(), first: 0, bytes: 0, running: 0 }
+    }
+
+    /// Nothing waits for an answer.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// No further query is to be read now.
+    pub fn is_full(&self) -> bool {
+        self.items.len() >= self.limits.queries || self.bytes >= self.limits.bytes
+    }
+
+    /// A request was read at `arrived`, in so many bytes.
+    pub fn request(&mut self, admitted: Admitted, ask: Rc<Ask>, arrived: Time, bytes: usize) {
+        self.bytes += bytes;
+        let state = State::Waiting { ask, arrived };
+        self.items.push_back((bytes, Item::Request { admitted, state }));
+    }
+
+    /// A query was read that needs no instance.
+    pub fn say(&mut self, said: S) {
+        self.items.push_back((0, Item::Said(said)));
+    }
+
+    /// The next request that may start. Each is given once.
+    pub fn start(&mut self) -> Option<Start> {
+        if self.running >= self.limits.running {
+            return None;
+        }
+        let at = (0..self.items.len()).find(|at| self.may_start(*at))?;
+        let Item::Request { admitted, state } = &mut self.items[at].1 else { return None };
+        let State::Waiting { ask, arrived } = std::mem::replace(state, State::Running) else { return None };
+        self.running += 1;
+        Some(Start { part: self.first + at as u64, admitted: admitted.clone(), ask, arrived })
+    }
+
+    fn may_start(&self, at: usize) -> bool {
+        let Item::Request { admitted, state: State::Waiting { .. } } = &self.items[at].1 else {
+            return false;
+        };
+        let Some(session) = &admitted.session else { return true };
+        let bars = |(_, item): &(usize, Item<A, S>)| match item {
+            Item::Request { state: State::Done(_), .. } | Item::Said(_) => false,
+            Item::Request { admitted: ahead, .. } => {
+                ahead.session.as_ref() == Some(session) && (ahead.is_write || admitted.is_write)
+            }
+        };
+        !self.items.iter().take(at).any(bars)
+    }
+
+    /// A request has its final answer. One that is not known, or has its answer, keeps what it has.
+    pub fn finish(&mut self, part: u64, answer: A) {
+        let at = part.checked_sub(self.first).and_then(|at| usize::try_from(at).ok());
+        let Some((_, Item::Request { state, .. })) = at.and_then(|at| self.items.get_mut(at)) else { return };
+        match state {
+            State::Done(_) => return,
+            State::Running => self.running -= 1,
+            State::Waiting { .. } => {}
+        }
+        *state = State::Done(answer);
+    }
+
+    /// The first request without an answer: what a CancelRequest is about.
+    pub fn first_open(&self) -> Option<u64> {
+        let is_open = |(_, i): &(usize, Item<A, S>)| match i {
+            Item::Request { state, .. } => !matches!(state, State::Done(_)),
+            Item::Said(_) => false,
+        };
+        self.items.iter().position(is_open).map(|at| self.first + at as u64)
+    }
+
+    /// What is said next, if it is the turn of something that can be; `may_say`: whether that can be said now.
+    pub fn output(&mut self, may_say: impl Fn(&S) -> bool) -> Option<Output<A, S>> {
+        match &self.items.front()?.1 {
+            Item::Request { state: State::Done(_), .. } => {}
+            Item::Said(said) if may_say(said) => {}
+            _ => return None,
+        }
+        let (bytes, item) = self.items.pop_front()?;
+        self.first += 1;
+        self.bytes -= bytes;
+        match item {
+            Item::Request { state: State::Done(answer), .. } => Some(Output::Answer(answer)),
+            Item::Request { .. } => None,
+            Item::Said(said) => Some(Output::Said(said)),
+        }
+    }
+}
