Write no further copy of a keyed request after the first one's key may be forgotten

Need: the window of a key was checked when the decision was taken (src/brain.rs, may_send), but the copy then waits for a connection, up to the connect timeout, and was written whatever had passed (router/src/peer/mod.rs, attempt). Found by reading; with windows of 0.6 s and late connections it books twice. `Action::Send` now says by when the attempt has to be written, and the peer looks again in the step that writes.

Tests on real sockets that fail without it: a copy that waits beyond the window; and that hold already: the time told after a dial, idle clients in every descriptor while discovery is down, readiness without discovery.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -307,7 +307,7 @@
 
 fn print(reply: &mut String, inst: u64, action: Action) {
     let written = match action {
-        Action::Send { request, member, limit } => match limit {
+        Action::Send { request, member, limit, by: _ } => match limit {
             Some(limit) => writeln!(reply, "RELAY\t{inst}\t{request:016x}\t{member}\t{limit}"),
             None => writeln!(reply, "RELAY\t{inst}\t{request:016x}\t{member}\t-"),
         },
--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -265,7 +265,7 @@
 
     fn act(&mut self, now: Time, action: Action) {
         match action {
-            Action::Send { request, member, limit } => self.send(now, request, member, limit),
+            Action::Send { request, member, limit, by } => self.send(now, request, member, limit, by),
             Action::Refuse { request, cause, retry_after } => {
                 self.given_up(request, cause);
                 self.answer(request, Reply::Refused { retry_after });
@@ -314,7 +314,14 @@
         }
     }
 
-    fn send(&mut self, now: Time, request: RequestId, member: MemberId, limit: Option<Span>) {
+    fn send(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        member: MemberId,
+        limit: Option<Span>,
+        by: Option<Time>,
+    ) {
         let most = self.shared.config.site.settings.limits.max_attempts;
         let Some(open) = self.open.get_mut(&request) else {
             error!(self.shared.log, "send for no request"; "request" => request);
@@ -337,7 +344,8 @@
         }
         let until = limit.map_or(open.deadline, |l| open.deadline.min(now.saturating_add(l)));
         let left = open.left.clone();
-        let attempt = Attempt { request, number, ask: open.ask.clone(), until, given_up, left, written };
+        let ask = open.ask.clone();
+        let attempt = Attempt { request, number, ask, until, by, given_up, left, written };
         let unordered = match self.peers.get(&member) {
             Some(peer) => peer.orders.try_send(Order::Attempt(attempt)).err().map(|_| Ending::Unsent),
             None => Some(Ending::ConnectFailed),
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -156,6 +156,8 @@
     pub ask: Rc<Ask>,
     /// When the router stops waiting.
     pub until: Time,
+    /// It must be written by then, or not at all.
+    pub by: Option<Time>,
     /// Closed once the decider has given the attempt up.
     pub given_up: async_channel::Receiver<()>,
     /// Its client has gone: what has not been written is not written any more.
--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -297,7 +297,8 @@
 /// One attempt on its connection. Given up, it drops the connection: a late answer has nowhere to go.
 async fn attempt(shared: Rc<Shared>, told: Rc<Told>, news: Sender<News>, mut link: Link, a: Attempt) {
     // Looked at again in the step in which the first byte is written: this task may have waited for its turn.
-    if !a.is_wanted() || told.is_closed_to_new(&shared) {
+    let is_late = a.by.is_some_and(|by| shared.clock.now() >= by);
+    if !a.is_wanted() || is_late || told.is_closed_to_new(&shared) {
         let _ = news.send(News::Back(link)).await;
         if a.is_wanted() {
             let ended = Ended::silent(Ending::Unsent);
--- a/router/tests/edges.rs
+++ b/router/tests/edges.rs
@@ -295,6 +295,88 @@
     sending.join().unwrap();
 }
 
+/// Guards the time that an instance is told: at most what is left when the bytes are written, after a wait for the
+/// connection.
+#[test]
+fn an_instance_is_told_the_time_that_is_left_after_its_dial() {
+    let (instance, _discovery, router) = one("master", Act::Serve, uncancelled());
+    instance.keep_aloof(true);
+    let mut client = router.client();
+    let sent = Instant::now();
+    client.send(&query(&read(ID, 20_000)));
+    until_dialled(&instance);
+    // The other request's end says that time has passed.
+    assert_eq!(router.client().ask(&read(2, 2500)).code, "53300");
+    let waited = sent.elapsed().as_millis() as u64;
+    instance.keep_aloof(false);
+    assert_eq!(client.answer().unwrap().value, format!("{ID:016x}"));
+    let told = instance.seen.change(|s| s.queries[0].clone());
+    let told: u64 = told.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    assert!(waited > 200 && told <= 20_000 - waited, "{told} after {waited}");
+}
+
+/// Guards keys against a copy that waits for its connection until the first is forgotten: it is not written, and its
+/// client is told that nobody knows.
+#[test]
+fn a_further_copy_that_waits_beyond_the_window_is_not_written() {
+    let mut settings = uncancelled();
+    settings["classes"][2]["window"] = 600_000_000u64.into();
+    let (instance, _discovery, router) = one("master", Act::Serve, settings);
+    assert_eq!(router.client().ask(&book(1, "s", 20_000)).value, "0000000000000001");
+    // The next one runs, its connection breaks before the answer, and the connection after that does not come up.
+    instance.faults.change(|f| f.push_back((Stage::Executed, Fault::Reset)));
+    instance.keep_aloof(true);
+    let mut client = router.client();
+    client.send(&query(&book(ID, "s", 5000)));
+    let began = Instant::now();
+    assert!(instance.seen.wait_for(LIMIT, |s| (s.connections >= 2).then_some(())).is_some());
+    // Another request's time passes, and with it the window.
+    assert_eq!(router.client().ask(&read(2, 2500)).code, "53300");
+    assert!(began.elapsed() > Duration::from_millis(650));
+    instance.keep_aloof(false);
+    assert_eq!(client.answer().unwrap().code, "58000");
+    let copies =
+        instance.seen.change(|s| s.queries.iter().filter(|q| q.contains(&format!("{ID:016x}"))).count());
+    assert_eq!(copies, 1);
+}
+
+/// Guards the call to discovery, and requests, against idle clients that hold every descriptor while discovery is down.
+#[test]
+fn idle_clients_hold_up_neither_discovery_nor_requests() {
+    let instance = Instance::start("master", Act::Serve);
+    let discovery = Discovery::start(None);
+    let router = start(&discovery, &[], 64);
+    let mut idle: Vec<Client> = Vec::new();
+    for _ in 0..60 {
+        let mut client = Client::connect(router.address);
+        client.send(&startup());
+        idle.push(client);
+    }
+    let calls = discovery.calls.change(|c| c.len());
+    assert!(discovery.calls.wait_for(LIMIT, |c| (c.len() > calls + 2).then_some(())).is_some());
+    discovery.publish(vec![target("s-1", instance.address, "ready")]);
+    let mut client = router.client();
+    assert_eq!(client.ask("").tags, "IZ");
+    assert_eq!(client.ask(&read(1, 15_000)).value, "0000000000000001");
+    assert!(router.counted("accept_errors=0"));
+}
+
+/// Guards the start: a router that knows a list is ready, and serves, while discovery says nothing, or is down.
+#[rstest]
+fn a_restarted_router_is_ready_without_discovery(#[values(false, true)] is_silent: bool) {
+    let instance = Instance::start("master", Act::Serve);
+    let discovery = Discovery::start(None);
+    if is_silent {
+        discovery.manner.change(|m| *m = Manner::Silent);
+    }
+    let router = start(&discovery, &[target("s-1", instance.address, "ready")], 1024);
+    let began = Instant::now();
+    let mut client = router.client();
+    assert_eq!(client.ask("").tags, "IZ");
+    assert_eq!(client.ask(&read(1, 5000)).value, "0000000000000001");
+    assert!(began.elapsed() < Duration::from_secs(6));
+}
+
 /// Guards every owner's duty to give back what it holds, over all ends together: taken is answered or left, each attempt
 /// has its outcome, and the process ends, for which all clients' slots must be back.
 #[rstest]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -761,7 +761,11 @@
     }
 
     fn send(&mut self, now: Time, id: RequestId, m: usize, mut p: Pending, out: &mut Vec<Action>) {
-        let write = self.class(&p).need == Need::Write;
+        let class = self.class(&p);
+        let write = class.need == Need::Write;
+        // The attempt may have to wait for a connection: the window holds for when it is written, too.
+        let first = p.ran.iter().map(|r| r.2).min().filter(|_| class.repeat != Repeat::Safe);
+        let by = first.map(|at| at.saturating_add(class.window));
         let x = &mut self.members[m];
         let session = p.req.session.clone().filter(|_| write);
         x.out.push(Attempt { request: id, number: p.sent, sent: now, aim: p.aim as f64, write, session });
@@ -770,7 +774,7 @@
         p.sent += 1;
         p.out += 1;
         p.held = false;
-        out.push(Action::Send { request: id, member: x.id.clone(), limit: None });
+        out.push(Action::Send { request: id, member: x.id.clone(), limit: None, by });
         self.pending.insert(id, p);
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -450,6 +450,9 @@
         member: MemberId,
         /// Give the attempt up after this time; none: when the client gives up.
         limit: Option<Span>,
+        /// It must not begin to run later than this: a copy that may have run is then forgotten by its key. Counts
+        /// where a host has to wait before it can send; one that comes too late ends as [`Ending::Unsent`].
+        by: Option<Time>,
     },
     /// Final answer: not done, and trying again does no harm.
     Refuse {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -367,6 +367,34 @@
     assert!(failed(&out) && sent(&out).is_none(), "{out:?}");
 }
 
+/// Guards the window for what waits at the host: a further copy says by when it has to be written, counted from when the
+/// first may have run, whatever was sent between; the first copy, and classes that are safe, have no such end.
+#[test]
+fn a_further_copy_says_by_when_it_must_be_written() {
+    let by = |out: &[Action]| {
+        out.iter().find_map(|a| match a {
+            Action::Send { by, .. } => Some(*by),
+            _ => None,
+        })
+    };
+    for (class, is_bound, copies) in [(KEYED, true, 2), (SESSION, false, 1)] {
+        let mut h = Host::new(settings());
+        // Requests enough for a reserve of further attempts.
+        (0..4).for_each(|_| h.warm_up());
+        let first = h.now;
+        let (id, mut out) = h.request(class);
+        assert_eq!(by(&out), Some(None));
+        for n in 0..copies {
+            let to = sent(&out).unwrap().to_string();
+            h.wait(100 * MS);
+            let standing = if to == "a" { primary(h.now) } else { replica(h.now) };
+            out = h.outcome(id, &to, n, Ending::Reset, standing);
+            out.extend(h.wait(300 * MS));
+            assert_eq!(by(&out), Some(is_bound.then_some(first + 3000 * MS)), "{class} {n}");
+        }
+    }
+}
+
 /// Guards a member's health against answers that are spoilt on their way: one says nothing of it, only three
 /// without a good one between them do. A request that may be repeated goes on to another member.
 #[test]
