--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -391,7 +391,7 @@
         let latency = self.shared.clock.now().saturating_sub(out.sent);
         debug!(self.shared.log, "attempt ended"; "request" => format_args!("{:016x}", open.id),
                "class" => open.class, "number" => number, "member" => &*out.member,
-               "ending" => ?ending, "ns" => latency);
+               "ending" => ?ending, "ns" => latency, "position" => ?ended.standing.position);
         if let Some(answer) = ended.answer {
             self.answer(request, Reply::Served(answer));
         }
