Let a write that may have run bind its session's reads like one that was served

The session was not bound by it (src/brain.rs, on_outcome: only what was served).

Now every write that may have run counts as committed when its outcome came, and so does a served one that told no position. It costs a session some reads at the primary after an unclear end. Only where sessions are not told of their writes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -817,8 +817,10 @@
         let spot = x.out.iter().position(|a| a.request == o.request && a.number == o.attempt);
         let Some(attempt) = spot.map(|i| x.out.swap_remove(i)) else { return };
         self.judge(now, m, &attempt, &o);
-        if attempt.write && o.ending == Ending::Served {
-            self.remember(attempt.session, o.standing.position);
+        if attempt.write && !o.ending.never_ran() {
+            // One that may have run binds its session, too, though nobody can say where it stands: before now.
+            let commit = o.standing.position.filter(|_| o.ending == Ending::Served);
+            self.remember(attempt.session, commit.unwrap_or(now));
         }
         if let Some(mut p) = self.pending.remove(&o.request) {
             p.out = p.out.saturating_sub(1);
@@ -839,14 +841,14 @@
 
     /// A session's reads must see its writes. Memory is bounded: sessions that are forgotten are taken to
     /// have written as late as any of them.
-    fn remember(&mut self, session: Option<Arc<str>>, commit: Option<Time>) {
+    fn remember(&mut self, session: Option<Arc<str>>, commit: Time) {
         if self.sessions.len() > 200_000 {
             self.token_floor = self.token_floor.max(self.sessions.values().copied().max());
             self.sessions.clear();
         }
-        if let (Some(s), Some(at)) = (session.filter(|_| !self.set.tokens_carried), commit) {
-            let token = self.sessions.entry(s).or_insert(at);
-            *token = at.max(*token);
+        if let Some(s) = session.filter(|_| !self.set.tokens_carried) {
+            let token = self.sessions.entry(s).or_insert(commit);
+            *token = commit.max(*token);
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -367,6 +367,34 @@
     assert!(failed(&out) && sent(&out).is_none(), "{out:?}");
 }
 
+/// Guards a session's own writes against answers that are lost: one that may have run binds the session's reads like one
+/// that was served, as does one whose answer said nothing of its place; one that never ran does not.
+#[test]
+fn a_write_that_may_have_run_binds_its_session() {
+    let cases = [
+        (Ending::Reset, true),
+        (Ending::Spoilt, true),
+        (Ending::TimedOut, true),
+        (Ending::Cancelled, true),
+        (Ending::Served, true),
+        (Ending::Full, false),
+        (Ending::Moot, false),
+    ];
+    for (ending, binds) in cases {
+        let mut h = Host::new(settings());
+        h.warm_up();
+        let before = h.now;
+        h.wait(50 * MS);
+        let (id, out) = h.request(WRITE);
+        assert_eq!(sent(&out), Some("a"));
+        h.wait(50 * MS);
+        h.outcome(id, "a", 0, ending, Standing::default());
+        h.feed(Event::ClientLeft { request: id });
+        let to: Vec<String> = (0..6).map(|_| h.serve(SESSION, before)).collect();
+        assert_eq!(to.iter().all(|to| to == "a"), binds, "{ending:?}: {to:?}");
+    }
+}
+
 /// Guards the window for what waits at the host: a further copy says by when it has to be written, counted from when the
 /// first may have run, whatever was sent between; the first copy, and classes that are safe, have no such end.
 #[test]
