Let a write that is out for long bind its session's reads, too

Followed by session in the log: a write sent at 14.395 s whose answer was lost and whose connection was reset at 14.971; a read of the session at 14.616 went to a replica 3.3 s behind. What an answer tells counts as known 100 ms after it was written, also if it is lost; the router only learned at the reset.

The debug log has a line for each request with its session.

--- a/router/src/decider.rs
+++ b/router/src/decider.rs
@@ -199,6 +199,8 @@
             return;
         }
         let now = self.shared.clock.now();
+        debug!(self.shared.log, "taken"; "request" => format_args!("{id:016x}"), "class" => incoming.class,
+               "group" => incoming.group, "session" => incoming.session.as_deref(), "after" => incoming.after);
         let deadline = incoming.arrived.saturating_add(incoming.wait.saturating_sub(MARGIN));
         let deadline = self.shared.last_answer().map_or(deadline, |last| deadline.min(last));
         let (ask, left, class) = (incoming.ask, incoming.left, incoming.class);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,8 @@
 const RESERVE: f64 = 20.0;
 /// Spoilt answers, or broken connections, in a row and without a good answer, that tell of the member.
 const IN_A_ROW: u32 = 3;
+/// What an answer tells counts as known this long after it was given, whether or not it came (the protocol).
+const HEARD: Span = 100_000_000;
 /// What one call may take of a slow list's service. In a queue that outlasts its calls none is served.
 const TURN: Span = 30_000_000;
 /// A call that failed is made again within this time, however many proxies call: news counts as told 6 s after
@@ -648,7 +650,8 @@
         let token = if self.set.tokens_carried {
             req.since_write.map(|ago| now.saturating_sub(ago))
         } else {
-            req.session.as_ref().and_then(|s| self.sessions.get(s)).copied().max(self.token_floor)
+            let known = req.session.as_ref().and_then(|s| self.sessions.get(s)).copied();
+            known.max(self.token_floor).max(self.is_writing(now, &req).then_some(now))
         };
         let over_share = self.over_share(now, &req);
         self.pace.add(now, PACE * self.max_aim, 1.0);
@@ -839,6 +842,13 @@
         self.release(now, group, out);
     }
 
+    /// A write of the request's session is out for so long that its answer may have been lost.
+    fn is_writing(&self, now: Time, req: &Request) -> bool {
+        let own = |a: &Attempt| a.session.is_some() && a.session == req.session && a.sent + HEARD <= now;
+        let members = self.groups.get(&req.group).map_or(&[][..], |g| &g.members);
+        members.iter().any(|&m| self.members[m].out.iter().any(own))
+    }
+
     /// A session's reads must see its writes. Memory is bounded: sessions that are forgotten are taken to
     /// have written as late as any of them.
     fn remember(&mut self, session: Option<Arc<str>>, commit: Time) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -395,6 +395,23 @@
     }
 }
 
+/// Guards a session's own write whose answer is lost while its connection stays open: a read that comes later than the
+/// answer counts as known does not go to a replica; one that comes at once, or of another session, may.
+#[test]
+fn a_write_that_is_out_for_long_binds_its_session() {
+    for (waited, binds) in [(10, false), (101, true)] {
+        let mut h = Host::new(settings());
+        h.warm_up();
+        // The primary is known not to be crowded.
+        (0..12).for_each(|_| drop(h.serve(WRITE, h.now)));
+        let before = h.now;
+        let (_, out) = h.request(WRITE);
+        assert_eq!(sent(&out), Some("a"));
+        h.wait(waited * MS);
+        assert_eq!(h.serve(SESSION, before) == "a", binds, "{waited} ms");
+    }
+}
+
 /// Guards the window for what waits at the host: a further copy says by when it has to be written, counted from when the
 /// first may have run, whatever was sent between; the first copy, and classes that are safe, have no such end.
 #[test]
