Let a watch wait longer at a discovery that has just turned a call away

For 20 s after a call was turned away a watch waits 8 s, its first call included (membership/src/watch.rs).

--- a/membership/src/watch.rs
+++ b/membership/src/watch.rs
@@ -15,6 +15,11 @@
 pub const OPENING: Span = 1000 * MS;
 /// The wait of a watch's further calls. A silence is noticed only after it.
 pub const WAIT: Span = 3000 * MS;
+/// The same while the service is busy: it has turned a call away not long ago, and each call is work for it. What is
+/// silent then is noticed late, though still in time.
+pub const BUSY_WAIT: Span = 8000 * MS;
+/// How long a service counts as busy after it has turned a call away.
+pub const BUSY: Span = 20_000 * MS;
 /// How long a call may wait for its turn at a busy service, beyond its own wait: a service ends one after 2 s, and one
 /// that is repeated while it still waits is served twice, the first time for nobody.
 pub const TURN: Span = 2000 * MS;
@@ -27,7 +32,7 @@
 pub const PAUSE: Span = 100 * MS;
 
 // A watch whose call has fallen silent is open again, after one further call, before what it missed counts as told.
-const _: () = assert!(WAIT + LATE + LATE < TOLD && WAIT + LATE + LATE < WAIT + TOLD_AFTER_WAIT);
+const _: () = assert!(WAIT + LATE + LATE < TOLD && LATE + LATE < TOLD_AFTER_WAIT && BUSY_WAIT > TOLD);
 // So is one whose first call fell silent, also if a connection that does not come up is in between.
 const _: () = assert!(OPENING + TURN + LATE + CONNECT + LATE < TOLD);
 
@@ -52,7 +57,9 @@
     },
     /// The connection stayed open and said nothing.
     Silent,
-    /// Turned away, broken, or without a list in it.
+    /// Turned away: it had waited too long for its turn, or the service is full or down.
+    TurnedAway,
+    /// Broken, or without a list in it.
     Failed,
 }
 
@@ -91,12 +98,14 @@
     wait: Span,
     /// The last call was answered.
     is_open: bool,
+    /// The service counts as busy until then.
+    busy_until: Time,
 }
 
 impl Watch {
     /// With a list of this version, if there is one.
     pub fn new(version: Option<u64>) -> Watch {
-        Watch { version, began: 0, wait: 0, is_open: false }
+        Watch { version, began: 0, wait: 0, is_open: false, busy_until: 0 }
     }
 
     /// Calls follow one another without being asked for.
@@ -106,7 +115,7 @@
 
     /// The service is another one: versions of the old one mean nothing there.
     pub fn moved(&mut self) {
-        (self.version, self.is_open) = (None, false);
+        (self.version, self.is_open, self.busy_until) = (None, false, 0);
     }
 
     /// The call for what is asked.
@@ -115,6 +124,8 @@
     }
 
     fn begin(&mut self, now: Time, ask: Ask, wait: Span, turn: Span) -> Call {
+        // One call less for a busy service: the first one is the watch already.
+        let (wait, turn) = if now < self.busy_until { (BUSY_WAIT, 0) } else { (wait, turn) };
         let since = self.version.filter(|_| ask == Ask::Changes).map(|version| (version, wait));
         (self.began, self.wait) = (now, since.map_or(0, |s| s.1));
         // The whole list waits for nothing but its turn.
@@ -139,6 +150,10 @@
                 let call = self.begin(now, Ask::Changes, OPENING, TURN);
                 Then::Call { call, after: 0, quietly: was_open }
             }
+            Ended::TurnedAway => {
+                self.busy_until = now + BUSY;
+                Then::Rest
+            }
             Ended::Failed => Then::Rest,
         }
     }
--- a/membership/tests/watch.rs
+++ b/membership/tests/watch.rs
@@ -58,6 +58,28 @@
     assert_eq!(call.since.is_some(), version.is_some() && ask == Ask::Changes);
 }
 
+/// Guards a busy service against calls that only wait: for a while after it has turned one away there are as few as
+/// keep the clock of silence, and the first call is the watch already.
+#[test]
+fn a_service_that_turned_a_call_away_gets_fewer() {
+    let (mut watch, usual) = open(7);
+    assert_eq!(watch.ended(MS, Ended::TurnedAway), Then::Rest);
+    let call = watch.ask(2 * MS, Ask::Changes);
+    let (_, wait) = call.since.expect("a watch");
+    assert!(wait > 2 * usual.since.expect("a watch").1);
+    for silent_at in (0..wait).step_by(50_000_000) {
+        assert!(
+            call.patience + LATE < (silent_at + TOLD).max(wait + TOLD_AFTER_WAIT),
+            "silent at {silent_at}"
+        );
+    }
+    let Then::Call { call, .. } = watch.ended(30_000 * MS, Ended::Answered { version: 7, news: false })
+    else {
+        panic!("an answer ended the watch")
+    };
+    assert_eq!(call, usual);
+}
+
 /// Guards both sides against a service that answers at once without news, and the watch against a pause that makes
 /// it a new one.
 #[test]
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -92,6 +92,7 @@
                 let ended = match &answer {
                     Ok(l) => watch::Ended::Answered { version: l.version, news: !l.entries.is_empty() },
                     Err(CallError::Silent) => watch::Ended::Silent,
+                    Err(CallError::Http(HttpError::Status(_))) => watch::Ended::TurnedAway,
                     Err(_) => watch::Ended::Failed,
                 };
                 let then = watch.ended(now, ended);
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -409,7 +409,7 @@
     assert_eq!(router.client().ask(&read(1, 5000)).value, "0000000000000001");
     let calls = discovery.calls.change(|c| c.len());
     discovery.publish(vec![target("s-1", instance.address, "ready")]);
-    let again = |c: &mut Vec<String>| c[calls..].iter().any(|p| p.contains("timeout_ms=3000")).then_some(());
+    let again = |c: &mut Vec<String>| c[calls..].iter().any(|p| p.contains("timeout_ms=8000")).then_some(());
     assert!(discovery.calls.wait_for(LIMIT, again).is_some());
 }
 
