--- a/membership/src/watch.rs
+++ b/membership/src/watch.rs
@@ -22,9 +22,12 @@
 pub const BUSY_WAIT: Span = 8000 * MS;
 /// How long a service counts as busy after it has turned a call away.
 pub const BUSY: Span = 20_000 * MS;
-/// The longest pause, while the service is busy, after an answer that told something; each caller draws its own. All
-/// watches are answered in the same instant, and all would call again in it; what is told meanwhile comes together.
-pub const BUSY_PAUSE: Span = 2500 * MS;
+/// The longest pause, while the service is busy, after an answer that told something. All watches are answered in the
+/// same instant, and all would call again in it. Whoever has its answer leaves the next turns to those that have none;
+/// what is told meanwhile comes together. As long as the clock allows: with shorter ones fewer callers are in time.
+pub const BUSY_PAUSE: Span = 3400 * MS;
+/// The part of it that each caller draws.
+pub const BUSY_DRAWN: Span = 400 * MS;
 /// How long a call may wait for its turn at a busy service, beyond its own wait: a service ends one after 2 s, and one
 /// that is repeated while it still waits is served twice, the first time for nobody.
 pub const TURN: Span = 2000 * MS;
@@ -152,7 +155,7 @@
                 let is_early = !news && now.saturating_sub(self.began) < self.wait / 2;
                 let after = match (is_early, news && now < self.busy_until) {
                     (true, _) => PAUSE,
-                    (false, true) => self.dice.random_range(0..BUSY_PAUSE),
+                    (false, true) => BUSY_PAUSE - self.dice.random_range(0..BUSY_DRAWN),
                     (false, false) => 0,
                 };
                 Then::Call { call: self.begin(now + after, Ask::Changes, WAIT, 0), after, quietly: false }
