Take back the pause at a busy discovery, and name limits that make no sense

`limits.sockets` and `limits.memory_mb` that are zero, negative or no number were taken for the default, and a `coldFrom` above 1 for a warm member; `check` now names file and field and exits with 2. A test has eleven such cases.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// With fewer descriptors there is room for neither side.
+const FEWEST_SOCKETS: u64 = 64;
+
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
     #[error("RELAY_CONFIG is not set")]
@@ -21,6 +24,8 @@
     Settings { path: String, what: String },
     #[error("{path}: {key} is missing or is no address")]
     Address { path: String, key: &'static str },
+    #[error("{path}: limits.{key} is no whole number of {least} or more")]
+    Limit { path: String, key: &'static str, least: u64 },
     #[error(transparent)]
     Edge(#[from] EdgeError),
     #[error("{path}: known: {source}")]
@@ -125,15 +130,21 @@
             None => (None, Vec::new()),
         };
         let seed = value.get("seed").and_then(Value::as_str);
-        let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
-        let memory_mb = value.pointer("/limits/memory_mb").and_then(Value::as_u64).unwrap_or(192);
+        // One that is absent has a default; one that makes no sense would be exceeded without a word.
+        let limit = |key: &'static str, least: u64, default: u64| {
+            let Some(given) = value.get("limits").and_then(|l| l.get(key)) else { return Ok(default) };
+            let wrong = || ConfigError::Limit { path: path.clone(), key, least };
+            given.as_u64().filter(|n| *n >= least).ok_or_else(wrong)
+        };
+        let sockets = limit("sockets", FEWEST_SOCKETS, 1024)?;
+        let memory_mb = limit("memory_mb", 1, 192)?;
         Ok(Config {
             memory: usize::try_from(memory_mb.clamp(16, 1 << 20)).unwrap_or(192) << 20,
             name: text("RELAY_NAME", "name").unwrap_or_else(|| "reelrill".to_owned()),
             listen: address("RELAY_LISTEN", "listen")?,
             discovery: address("RELAY_DISCOVERY", "discovery")?,
             seed: seed.and_then(|s| u64::from_str_radix(s, 16).ok()).unwrap_or_default(),
-            sockets: usize::try_from(sockets).unwrap_or(1024).max(64),
+            sockets: usize::try_from(sockets).unwrap_or(1024),
             known,
             edge,
             edge_path: None,
--- a/router/src/roster.rs
+++ b/router/src/roster.rs
@@ -49,7 +49,7 @@
 /// Runs until the decider's end of `calls` is dropped. `places` brings the address of discovery whenever the
 /// configuration has been read again.
 pub async fn run(shared: Rc<Shared>, calls: Receiver<Call>, places: Receiver<SocketAddr>) {
-    let mut watch = Watch::new(shared.config.known.0, shared.config.seed);
+    let mut watch = Watch::new(shared.config.known.0);
     let discovery = Cell::new(shared.config.discovery);
     let roster = Roster { shared, discovery, connection: Cell::default(), began: Cell::default() };
     // The call to be made next, and the pause before it.
--- a/router/tests/router.rs
+++ b/router/tests/router.rs
@@ -544,6 +544,42 @@
     assert!(!output.status.success() && said.contains(wanted), "{said}");
 }
 
+/// Guards the start against settings that make no sense: `check` names file and field, and exits with 2.
+#[rstest]
+#[case(&["limits", "sockets"], 0.into(), "limits.sockets")]
+#[case(&["limits", "sockets"], (-5).into(), "limits.sockets")]
+#[case(&["limits", "sockets"], "many".into(), "limits.sockets")]
+#[case(&["limits", "memory_mb"], 0.into(), "limits.memory_mb")]
+#[case(&["settings", "ceilings", "maxAttempts"], 0.into(), "max_attempts")]
+#[case(&["settings", "classes", "0", "hardLimit"], 0.into(), "classes[0]")]
+#[case(&["settings", "classes", "0", "onTime"], (-1).into(), "classes[0].onTime")]
+#[case(&["settings", "classes", "0", "repeat"], "sometimes".into(), "classes[0].repeat: unknown word 'sometimes'")]
+#[case(&["settings", "rules", "warmAfter"], 0.into(), "warm_after")]
+#[case(&["settings", "rules", "coldFrom"], 7.into(), "cold_from")]
+#[case(&["known", "targets"], "none".into(), "known: targets")]
+fn settings_that_make_no_sense_are_named(
+    #[case] place: &[&str],
+    #[case] value: serde_json::Value,
+    #[case] field: &str,
+) {
+    let mut config = serde_json::json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": settings(),
+        "limits": {"sockets": 256, "memory_mb": 48}, "known": {"rev": 1, "all": true, "targets": []}});
+    let check = |config: &serde_json::Value| {
+        let file = tempfile::Builder::new().suffix(".json").tempfile().unwrap();
+        std::fs::write(file.path(), config.to_string()).unwrap();
+        let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_reelrill"));
+        let output = program.arg("check").arg(file.path()).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        (output.status.code(), said.contains(&*file.path().to_string_lossy()), said)
+    };
+    assert_eq!(check(&config).0, Some(0));
+    let at = config.pointer_mut(&format!("/{}", place.join("/"))).unwrap();
+    *at = value;
+    let (code, has_file, said) = check(&config);
+    assert_eq!((code, has_file, said.contains(field)), (Some(2), true, true), "{said}");
+}
+
 /// Guards the budget of descriptors: idle connections make room, and nobody is turned away.
 #[test]
 fn more_clients_than_descriptors_are_served_in_turn() {
