Give each member small mailboxes, so that a fleet's list fits the memory limit

Each member on the list has an actor with two mailboxes of 1,024 places, whose room is taken and touched at once (router/src/peer/mod.rs, MAILBOX): 327 kB a member measured on the real program (11.4 MB with one member, 109.6 MB with 301), and a release in the fleet lists over 120.

Orders have 256 places now, what dials and attempts hand back 16; those wait for a place, and the decider never does. The test starts the program with 1 and 301 members and fails without the change.

--- a/router/src/peer/mod.rs
+++ b/router/src/peer/mod.rs
@@ -27,7 +27,11 @@
     assert!(RETIRE * (1.0 + 1.0 / SWEEPS as f64) < 1.0, "an idle connection would outlive its limit");
 /// Part of the drain grace that a send's first byte may use up, counted from being told.
 const DRAIN: f64 = 0.8;
-const MAILBOX: usize = 1024;
+/// The room of a mailbox is taken up at once, and there is one of each for every member on the list: in a fleet's list of
+/// 120 members a thousand places each were most of the memory limit.
+const MAILBOX: usize = 256;
+/// What dials and attempts hand back; they wait for a place.
+const HANDED_BACK: usize = 16;
 
 /// What the list says of the instance now; read again before each send.
 pub struct Told {
@@ -90,7 +94,7 @@
     endpoint: SocketAddr,
 ) -> Handle {
     let (orders, inbox) = async_channel::bounded(MAILBOX);
-    let (news, back) = async_channel::bounded(MAILBOX);
+    let (news, back) = async_channel::bounded(HANDED_BACK);
     let told = Rc::new(Told { endpoint: Cell::new(endpoint), leaving: Cell::new(None) });
     let peer = Peer {
         shared: shared.clone(),
--- a/router/tests/edges.rs
+++ b/router/tests/edges.rs
@@ -377,6 +377,24 @@
     assert!(began.elapsed() < Duration::from_secs(6));
 }
 
+/// Guards the memory limit against long lists: a member that is only known costs next to nothing.
+#[test]
+fn many_members_cost_little_memory() {
+    let instance = Instance::start("master", Act::Serve);
+    let resident_kb = |members: usize| -> u64 {
+        let list: Vec<Value> =
+            (0..members).map(|i| target(&format!("s-{i}"), instance.address, "ready")).collect();
+        let discovery = Discovery::start(Some(list.clone()));
+        let router = start(&discovery, &list, 256);
+        assert_eq!(router.client().ask("").tags, "IZ");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", router.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    };
+    let (few, many) = (resident_kb(1), resident_kb(301));
+    assert!(many.saturating_sub(few) < 300 * 48, "{few} kB with one member, {many} kB with 301");
+}
+
 /// Guards every owner's duty to give back what it holds, over all ends together: taken is answered or left, each attempt
 /// has its outcome, and the process ends, for which all clients' slots must be back.
 #[rstest]
