--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,8 +32,8 @@
 const HEARD: Span = 100_000_000;
 /// What one call may take of a slow list's service. In a queue that outlasts its calls none is served.
 const TURN: Span = 30_000_000;
-/// A call that failed is made again within this time, however many proxies call: news counts as told 6 s after
-/// the list's service had it and could be reached, and the call and one more failure have to fit, too.
+/// A call that failed is made again within this time, however many proxies call: news counts as told 6 s
+/// after the list's service had it and could be reached, and one more failure has to fit, too.
 const AGAIN: Span = 2_000_000_000;
 /// Mean latency, in aims, at which refusals begin, and at which all are refused.
 const SHED: (f64, f64) = (1.2, 2.1);
@@ -821,7 +821,7 @@
         let Some(attempt) = spot.map(|i| x.out.swap_remove(i)) else { return };
         self.judge(now, m, &attempt, &o);
         if attempt.write && !o.ending.never_ran() {
-            // One that may have run binds its session, too, though nobody can say where it stands: before now.
+            // One that may have run binds its session, too; all that is known of its place: before now.
             let commit = o.standing.position.filter(|_| o.ending == Ending::Served);
             self.remember(attempt.session, commit.unwrap_or(now));
         }
