--- a/review/standins/src/bin/case_restart.rs
+++ b/review/standins/src/bin/case_restart.rs
@@ -16,7 +16,7 @@
 
 /// STANDING, roll+brink: a quarter to a half of the instances hang. Here one of four, the primary.
 const MEMBERS: u64 = 4;
-const CLIENTS: u64 = 3;
+const CLIENTS: u64 = 6;
 /// The bookings that each client sends at once, and the size of their values. PROTOCOL: at most 64 KiB.
 const BOOKINGS: u64 = 12;
 const VALUE_BYTES: usize = 64 * 1024;
