--- a/crates/pg-session/src/endpoint_query/tests.rs
+++ b/crates/pg-session/src/endpoint_query/tests.rs
@@ -35,7 +35,7 @@
 }
 
 fn budgets() -> SharedBudgets {
-    SharedBudgets::new(&Limits::default())
+    SharedBudgets::new(&Limits::default(), 1 << 20)
 }
 
 const BINARY: [Format; 1] = [Format::Binary];
--- a/crates/pg-session/src/extended.rs
+++ b/crates/pg-session/src/extended.rs
@@ -25,6 +25,7 @@
 use crate::request::{ClassCatalog, ValidatedRequest};
 use crate::template::{StatementKind, TemplateStore, UtilityStatement};
 use pipeline::Pipeline;
+pub use pipeline::RESERVED_RESPONSE_BYTES;
 use portal::{Execution, Portal};
 use reelrill_pg_protocol::Format;
 use reelrill_pg_protocol::frontend::{Bind, Command, ObjectKind};
@@ -82,6 +83,17 @@
     ReadyForQuery,
 }
 
+impl<R> Output<R> {
+    /// Returns the number of bytes that an output of the session itself holds besides its fixed size.
+    fn local_bytes(&self) -> usize {
+        match self {
+            Output::ParameterDescription(types) => size_of_val(types.as_slice()),
+            Output::Error(error) => error.text_bytes(),
+            _ => 0,
+        }
+    }
+}
+
 /// A request that the caller starts now.
 #[derive(Debug)]
 pub struct StartedRequest {
@@ -107,11 +119,12 @@
 impl<R> ExtendedSession<R> {
     /// Creates the session of a client that has sent nothing yet.
     pub fn new(shared: Rc<SharedResources>) -> ExtendedSession<R> {
+        let pipeline = Pipeline::new(shared.budgets.pipeline_bytes.clone());
         ExtendedSession {
             shared,
             statements: Statements::default(),
             portals: HashMap::new(),
-            pipeline: Pipeline::new(),
+            pipeline,
             segment: Segment::new(0),
         }
     }
@@ -126,13 +139,19 @@
         !self.segment.is_closed
     }
 
-    /// Returns whether no further command may be passed now: too many are queued, or a change of the last segment could
-    /// still be rolled back.
+    /// Returns whether no further command may be passed now: too many are queued, no memory is left, or a change of the
+    /// last segment could still be rolled back.
     pub fn is_full(&self) -> bool {
-        let is_pipeline_full = self.pipeline.len() >= self.shared.limits.commands;
+        let is_pipeline_full = self.pipeline.is_full(self.shared.limits.commands);
         is_pipeline_full || (self.segment.is_closed && self.statements.has_uncommitted())
     }
 
+    /// Returns whether the last call of [`start_next`](Self::start_next) left a request waiting because the memory
+    /// budget is exhausted.
+    pub fn is_waiting_for_memory(&self) -> bool {
+        self.pipeline.is_waiting_for_memory()
+    }
+
     /// Returns the number of statements that the client has prepared.
     pub fn statement_count(&self) -> usize {
         self.statements.len()
@@ -361,10 +380,11 @@
         self.pipeline.start(self.shared.limits.reads.max(1))
     }
 
-    /// Stores the final response to a request. Returns the numbers of the later requests that were running and are
-    /// cancelled. Does nothing if the number is unknown, for example because the request was rolled back.
-    pub fn finish(&mut self, number: u64, response: R, is_served: bool) -> Vec<u64> {
-        let Some(position) = self.pipeline.complete(number, response) else {
+    /// Stores the final response of `bytes` bytes to a request. Returns the numbers of the later requests that were
+    /// running and are cancelled. Does nothing if the number is unknown, for example because the request was rolled
+    /// back.
+    pub fn finish(&mut self, number: u64, response: R, is_served: bool, bytes: usize) -> Vec<u64> {
+        let Some(position) = self.pipeline.complete(number, response, bytes) else {
             return Vec::new();
         };
         let cancelled = if is_served {
@@ -392,8 +412,20 @@
         self.pipeline.first_pending()
     }
 
-    /// Removes and returns the next output, if it is available.
+    /// Removes and returns the next output, if it is available. Its memory stays reserved until
+    /// [`on_written`](Self::on_written).
     pub fn pop_output(&mut self) -> Option<Output<R>> {
         self.pipeline.pop_ready()
     }
+
+    /// Releases the memory of the outputs that were returned by [`pop_output`](Self::pop_output), which have been
+    /// written to the client.
+    pub fn on_written(&mut self) {
+        self.pipeline.on_written();
+    }
+
+    /// Discards all queued commands and responses, and releases their memory: the client's connection has ended.
+    pub fn clear(&mut self) {
+        self.pipeline.clear();
+    }
 }
--- a/crates/pg-session/src/extended/pipeline.rs
+++ b/crates/pg-session/src/extended/pipeline.rs
@@ -2,14 +2,23 @@
 //!
 //! Determines the order of responses and which request may start. Owns the queued items and the count of running
 //! requests. Must never release a response before an earlier one, nor run a write at the same time as another request.
+//!
+//! Responses take their memory from a budget that all clients share, as those of simple queries do
+//! ([`crate::queue`]).
 
 use super::{Output, StartedRequest};
 use crate::endpoint_query::EndpointQuery;
+use crate::limits::{Budget, Reservation};
 use crate::request::ValidatedRequest;
 use reelrill_pg_protocol::Format;
+use reelrill_pg_protocol::frame::MAX_ROW_LENGTH;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+/// The bytes reserved for the response of a request that runs before an earlier one has its response. A value in text
+/// format has two digits for each byte.
+pub const RESERVED_RESPONSE_BYTES: usize = 2 * MAX_ROW_LENGTH;
+
 /// The progress of a request.
 enum State<R> {
     Waiting,
@@ -56,6 +65,13 @@
     }
 }
 
+/// A queued item, its number, and the memory that its response holds.
+struct Entry<R> {
+    number: u64,
+    memory: Reservation,
+    item: Item<R>,
+}
+
 /// The items discarded because an earlier request failed.
 pub(super) struct Discarded {
     /// The numbers of the requests that were running, which are cancelled.
@@ -66,26 +82,41 @@
 
 /// The queued items in order, each with its number. Numbers only increase.
 pub(super) struct Pipeline<R> {
-    items: VecDeque<(u64, Item<R>)>,
+    memory: Rc<Budget>,
+    entries: VecDeque<Entry<R>>,
     next_number: u64,
     running: usize,
+    /// The memory of the responses that were returned and may not have been written yet.
+    unwritten: Vec<Reservation>,
+    is_waiting_for_memory: bool,
 }
 
 impl<R> Pipeline<R> {
-    pub(super) fn new() -> Pipeline<R> {
+    /// Creates an empty queue that takes its memory from `memory`, in bytes.
+    pub(super) fn new(memory: Rc<Budget>) -> Pipeline<R> {
         Pipeline {
-            items: VecDeque::new(),
+            memory,
+            entries: VecDeque::new(),
             next_number: 0,
             running: 0,
+            unwritten: Vec::new(),
+            is_waiting_for_memory: false,
         }
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.items.len()
+    /// Returns whether `limit` items are queued, or no memory is left for another one.
+    pub(super) fn is_full(&self, limit: usize) -> bool {
+        self.entries.len() >= limit || (!self.is_empty() && self.memory.available() == 0)
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.items.is_empty()
+        self.entries.is_empty()
+    }
+
+    /// Returns whether the last call of [`start`](Self::start) left a request waiting because the memory budget is
+    /// exhausted.
+    pub(super) fn is_waiting_for_memory(&self) -> bool {
+        self.is_waiting_for_memory
     }
 
     /// Returns the number of the next item to be queued.
@@ -94,40 +125,51 @@
     }
 
     pub(super) fn push_response(&mut self, response: Output<R>) {
-        self.push(Item::Response(response));
+        let bytes = response.local_bytes();
+        self.push(Item::Response(response), bytes);
     }
 
     pub(super) fn push_request(&mut self, request: PlannedRequest) {
-        self.push(Item::Request {
+        let item = Item::Request {
             state: State::Waiting,
             request,
-        });
+        };
+        // The values of the request are counted in a budget of their own.
+        self.push(item, 0);
     }
 
-    fn push(&mut self, item: Item<R>) {
-        self.items.push_back((self.next_number, item));
+    fn push(&mut self, item: Item<R>, bytes: usize) {
+        self.entries.push_back(Entry {
+            number: self.next_number,
+            memory: self
+                .memory
+                .reserve_regardless(size_of::<Entry<R>>() + bytes),
+            item,
+        });
         self.next_number += 1;
     }
 
     /// Returns whether a request has no response yet.
     pub(super) fn has_pending_request(&self) -> bool {
-        self.items.iter().any(|(_, item)| item.is_pending())
+        self.entries.iter().any(|entry| entry.item.is_pending())
     }
 
     /// Returns whether a request has no response yet, among the items from the number `first` on.
     pub(super) fn has_pending_request_since(&self, first: u64) -> bool {
-        self.items
+        self.entries
             .iter()
             .rev()
-            .take_while(|(number, _)| *number >= first)
-            .any(|(_, item)| item.is_pending())
+            .take_while(|entry| entry.number >= first)
+            .any(|entry| entry.item.is_pending())
     }
 
     /// Returns the next request that may start, and marks it as running. At most `max_running` requests run at once.
     pub(super) fn start(&mut self, max_running: usize) -> Option<StartedRequest> {
+        self.is_waiting_for_memory = false;
+        let entry_size = size_of::<Entry<R>>();
         let mut running_before = 0;
-        for (number, item) in &mut self.items {
-            let Item::Request { state, request } = item else {
+        for entry in &mut self.entries {
+            let Item::Request { state, request } = &mut entry.item else {
                 continue;
             };
             let is_write = request.validated.is_write;
@@ -137,11 +179,21 @@
                 State::Running => running_before += 1,
                 State::Waiting if is_write && running_before > 0 => return None,
                 State::Waiting if self.running >= max_running => return None,
+                // The first request's response can be sent at once. That of a later one may have to be kept.
+                State::Waiting
+                    if running_before > 0
+                        && !entry
+                            .memory
+                            .try_resize(entry_size + RESERVED_RESPONSE_BYTES) =>
+                {
+                    self.is_waiting_for_memory = true;
+                    return None;
+                }
                 State::Waiting => {
                     *state = State::Running;
                     self.running += 1;
                     return Some(StartedRequest {
-                        number: *number,
+                        number: entry.number,
                         request: request.validated.clone(),
                         query: request.query.clone(),
                         result_format: request.result_format,
@@ -152,40 +204,44 @@
         None
     }
 
-    /// Stores the response to a request and returns its position; `None` if its number is unknown or it has a response.
-    pub(super) fn complete(&mut self, number: u64, response: R) -> Option<usize> {
+    /// Stores the response of `bytes` bytes to a request and returns its position; `None` if its number is unknown or
+    /// it has a response.
+    pub(super) fn complete(&mut self, number: u64, response: R, bytes: usize) -> Option<usize> {
         let position = self
-            .items
-            .binary_search_by_key(&number, |(item_number, _)| *item_number)
+            .entries
+            .binary_search_by_key(&number, |entry| entry.number)
             .ok()?;
-        let item = &mut self.items[position].1;
-        if !item.is_pending() {
+        let entry = &mut self.entries[position];
+        if !entry.item.is_pending() {
             return None;
         }
-        if item.is_running() {
+        if entry.item.is_running() {
             self.running -= 1;
         }
-        if let Item::Request { state, .. } = item {
+        if let Item::Request { state, .. } = &mut entry.item {
             *state = State::Completed(response);
         }
+        entry
+            .memory
+            .resize_regardless(size_of::<Entry<R>>() + bytes);
         Some(position)
     }
 
     /// Removes the items between the request at `position` and the Sync of its segment.
     pub(super) fn discard_after(&mut self, position: usize) -> Discarded {
         let sync_position = self
-            .items
+            .entries
             .iter()
             .skip(position)
-            .position(|(_, item)| item.is_sync())
+            .position(|entry| entry.item.is_sync())
             .map(|offset| position + offset);
-        let sync = sync_position.map(|index| self.items[index].0);
-        let end = sync_position.unwrap_or(self.items.len());
+        let sync = sync_position.map(|index| self.entries[index].number);
+        let end = sync_position.unwrap_or(self.entries.len());
         let cancelled: Vec<u64> = self
-            .items
+            .entries
             .drain(position + 1..end)
-            .filter(|(_, item)| item.is_running())
-            .map(|(number, _)| number)
+            .filter(|entry| entry.item.is_running())
+            .map(|entry| entry.number)
             .collect();
         self.running -= cancelled.len();
         Discarded { cancelled, sync }
@@ -193,18 +249,19 @@
 
     /// Returns the number of the first request without a response, and whether it is running.
     pub(super) fn first_pending(&self) -> Option<(u64, bool)> {
-        let (number, item) = self.items.iter().find(|(_, item)| item.is_pending())?;
-        Some((*number, item.is_running()))
+        let entry = self.entries.iter().find(|entry| entry.item.is_pending())?;
+        Some((entry.number, entry.item.is_running()))
     }
 
-    /// Removes and returns the first response, if it is available.
+    /// Removes and returns the first response, if it is available. Its memory stays reserved until
+    /// [`on_written`](Self::on_written).
     pub(super) fn pop_ready(&mut self) -> Option<Output<R>> {
-        let (_, first) = self.items.front()?;
-        if first.is_pending() {
+        if self.entries.front()?.item.is_pending() {
             return None;
         }
-        let (_, item) = self.items.pop_front()?;
-        match item {
+        let entry = self.entries.pop_front()?;
+        self.unwritten.push(entry.memory);
+        match entry.item {
             Item::Response(response) => Some(response),
             Item::Request {
                 state: State::Completed(response),
@@ -216,4 +273,17 @@
             Item::Request { .. } => None,
         }
     }
+
+    /// Releases the memory of the responses that were returned by [`pop_ready`](Self::pop_ready), which have been
+    /// written to the client.
+    pub(super) fn on_written(&mut self) {
+        self.unwritten.clear();
+    }
+
+    /// Discards all items, and releases their memory.
+    pub(super) fn clear(&mut self) {
+        self.entries.clear();
+        self.unwritten.clear();
+        self.running = 0;
+    }
 }
--- a/crates/pg-session/src/lib.rs
+++ b/crates/pg-session/src/lib.rs
@@ -104,6 +104,21 @@
 }
 
 impl SessionError {
+    /// Returns the number of bytes of client text that the error holds.
+    pub fn text_bytes(&self) -> usize {
+        match self {
+            SessionError::Unsupported(text)
+            | SessionError::UnknownClass(text)
+            | SessionError::ClassMismatch(text)
+            | SessionError::UnknownStatement(text)
+            | SessionError::UnknownPortal(text)
+            | SessionError::DuplicateStatement(text)
+            | SessionError::DuplicatePortal(text)
+            | SessionError::PortalAlreadyRun(text) => text.len(),
+            _ => 0,
+        }
+    }
+
     /// Returns the SQLSTATE code of the error.
     pub fn sqlstate(&self) -> &'static str {
         match self {
--- a/crates/pg-session/src/limits.rs
+++ b/crates/pg-session/src/limits.rs
@@ -1,7 +1,8 @@
 //! Limits on the statements, portals, values and commands that clients may hold.
 //!
 //! Responsible for counting what is in use of the limits that all clients share. Owns the counts; each user owns its
-//! reservation, which is released on drop. Must never count above a limit.
+//! reservation, which is released on drop. Must never grant more than a limit, except to
+//! [`Budget::reserve_regardless`] and [`Reservation::resize_regardless`].
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -43,17 +44,50 @@
         })
     }
 
+    /// Reserves `amount` units, even if fewer are left: others then get none until enough are released.
+    pub fn reserve_regardless(self: &Rc<Self>, amount: usize) -> Reservation {
+        self.used.set(self.used.get().saturating_add(amount));
+        Reservation {
+            budget: self.clone(),
+            amount,
+        }
+    }
+
     /// Returns the number of units in use.
     pub fn used(&self) -> usize {
         self.used.get()
     }
 
+    /// Returns the number of units that can be reserved.
+    pub fn available(&self) -> usize {
+        self.limit.saturating_sub(self.used.get())
+    }
+
     /// Returns the limit, in units.
     pub fn limit(&self) -> usize {
         self.limit
     }
 }
 
+impl Reservation {
+    /// Changes the reserved amount to `amount` units. Returns `false`, and changes nothing, if that takes more units
+    /// than are left.
+    pub fn try_resize(&mut self, amount: usize) -> bool {
+        if amount.saturating_sub(self.amount) > self.budget.available() {
+            return false;
+        }
+        self.resize_regardless(amount);
+        true
+    }
+
+    /// Changes the reserved amount to `amount` units, even if fewer are left.
+    pub fn resize_regardless(&mut self, amount: usize) {
+        let used_by_others = self.budget.used.get() - self.amount;
+        self.budget.used.set(used_by_others.saturating_add(amount));
+        self.amount = amount;
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.budget.used.set(self.budget.used.get() - self.amount);
@@ -106,14 +140,18 @@
     pub statements: Rc<Budget>,
     /// Budget of [`Limits::value_bytes`].
     pub value_bytes: Rc<Budget>,
+    /// Budget of the bytes that the clients' queued queries and their responses hold.
+    pub pipeline_bytes: Rc<Budget>,
 }
 
 impl SharedBudgets {
-    /// Creates budgets with nothing in use.
-    pub fn new(limits: &Limits) -> SharedBudgets {
+    /// Creates budgets with nothing in use. `pipeline_bytes` limits the bytes that the clients' queued queries and
+    /// their responses hold.
+    pub fn new(limits: &Limits, pipeline_bytes: usize) -> SharedBudgets {
         SharedBudgets {
             statements: Budget::new(limits.all_statements),
             value_bytes: Budget::new(limits.value_bytes),
+            pipeline_bytes: Budget::new(pipeline_bytes),
         }
     }
 }
--- a/crates/pg-session/src/queue.rs
+++ b/crates/pg-session/src/queue.rs
@@ -7,9 +7,16 @@
 //! when the client sent it. So queries start as they are received, and only their responses are kept in order. Two
 //! requests of one session run one after the other if either of them writes: a session's read that follows its own
 //! write sees that write.
+//!
+//! Queries and responses take their memory from a budget that all clients share. A request that starts before an
+//! earlier one has its response reserves memory for the largest response, because that response may have to be kept.
+//! While the budget is exhausted, each client can still queue one query, and run its first request without a response:
+//! that response can be sent at once, so every queue makes progress.
 
 use crate::endpoint_query::EndpointQuery;
+use crate::limits::{Budget, Reservation};
 use crate::request::ValidatedRequest;
+use reelrill_pg_protocol::frame::MAX_ROW_LENGTH;
 use reelrill_routing::Timestamp;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -23,6 +30,8 @@
     pub bytes: usize,
     /// Requests that run at the same time.
     pub running: usize,
+    /// Bytes reserved for the response of a request that runs before an earlier one has its response.
+    pub response_bytes: usize,
 }
 
 impl Default for QueueLimits {
@@ -31,6 +40,7 @@
             queries: 128,
             bytes: 32 * 1024,
             running: 32,
+            response_bytes: MAX_ROW_LENGTH,
         }
     }
 }
@@ -55,6 +65,31 @@
     LocalResponse(L),
 }
 
+/// A queued query or response, and the memory that it holds.
+struct Entry<R, L> {
+    /// The bytes that count towards [`QueueLimits::bytes`].
+    bytes: usize,
+    memory: Reservation,
+    item: Item<R, L>,
+}
+
+impl<R, L> Entry<R, L> {
+    /// Returns the memory of an entry that counts as `bytes` bytes and has a response of `response_bytes` bytes.
+    fn memory_bytes(bytes: usize, response_bytes: usize) -> usize {
+        size_of::<Entry<R, L>>() + bytes + response_bytes
+    }
+
+    fn is_done(&self) -> bool {
+        matches!(
+            self.item,
+            Item::Request {
+                state: State::Done(_),
+                ..
+            }
+        )
+    }
+}
+
 /// A request that the caller starts now.
 #[derive(Debug)]
 pub struct StartedRequest {
@@ -81,33 +116,59 @@
 /// need no endpoint.
 pub struct SimpleQueryQueue<R, L> {
     limits: QueueLimits,
-    items: VecDeque<(usize, Item<R, L>)>,
-    /// The number of the first item.
+    memory: Rc<Budget>,
+    entries: VecDeque<Entry<R, L>>,
+    /// The number of the first entry.
     first_number: u64,
     bytes: usize,
     running: usize,
+    /// The memory of the responses that were returned and may not have been written yet.
+    unwritten: Vec<Reservation>,
+    is_waiting_for_memory: bool,
 }
 
 impl<R, L> SimpleQueryQueue<R, L> {
-    /// Creates an empty queue.
-    pub fn new(limits: QueueLimits) -> SimpleQueryQueue<R, L> {
+    /// Creates an empty queue that takes its memory from `memory`, in bytes.
+    pub fn new(limits: QueueLimits, memory: Rc<Budget>) -> SimpleQueryQueue<R, L> {
         SimpleQueryQueue {
             limits,
-            items: VecDeque::new(),
+            memory,
+            entries: VecDeque::new(),
             first_number: 0,
             bytes: 0,
             running: 0,
+            unwritten: Vec::new(),
+            is_waiting_for_memory: false,
         }
     }
 
     /// Returns whether the queue holds neither a query nor a response.
     pub fn is_empty(&self) -> bool {
-        self.items.is_empty()
+        self.entries.is_empty()
     }
 
     /// Returns whether a limit is reached, so that no further query should be read now.
     pub fn is_full(&self) -> bool {
-        self.items.len() >= self.limits.queries || self.bytes >= self.limits.bytes
+        self.entries.len() >= self.limits.queries
+            || self.bytes >= self.limits.bytes
+            || (!self.is_empty() && self.memory.available() == 0)
+    }
+
+    /// Returns whether the last call of [`start_next`](Self::start_next) left a request waiting because the memory
+    /// budget is exhausted.
+    pub fn is_waiting_for_memory(&self) -> bool {
+        self.is_waiting_for_memory
+    }
+
+    fn push(&mut self, bytes: usize, item: Item<R, L>) {
+        self.bytes += bytes;
+        let memory_bytes = Entry::<R, L>::memory_bytes(bytes, 0);
+        let memory = self.memory.reserve_regardless(memory_bytes);
+        self.entries.push_back(Entry {
+            bytes,
+            memory,
+            item,
+        });
     }
 
     /// Appends a request that was received at `received_at` in a message of `bytes` bytes.
@@ -118,24 +179,27 @@
         received_at: Timestamp,
         bytes: usize,
     ) {
-        self.bytes += bytes;
         let state = State::Waiting { query, received_at };
-        self.items
-            .push_back((bytes, Item::Request { request, state }));
+        self.push(bytes, Item::Request { request, state });
     }
 
-    /// Appends the response to a query that needs no endpoint.
-    pub fn push_local_response(&mut self, response: L) {
-        self.items.push_back((0, Item::LocalResponse(response)));
+    /// Appends the response of `bytes` bytes to a query that needs no endpoint.
+    pub fn push_local_response(&mut self, response: L, bytes: usize) {
+        self.push(bytes, Item::LocalResponse(response));
     }
 
     /// Returns the next request that may start, and marks it as running. Each request is returned once.
     pub fn start_next(&mut self) -> Option<StartedRequest> {
+        self.is_waiting_for_memory = false;
         if self.running >= self.limits.running {
             return None;
         }
-        let position = (0..self.items.len()).find(|position| self.can_start(*position))?;
-        let Item::Request { request, state } = &mut self.items[position].1 else {
+        let position = (0..self.entries.len()).find(|position| self.can_start(*position))?;
+        if !self.reserve_response(position) {
+            self.is_waiting_for_memory = true;
+            return None;
+        }
+        let Item::Request { request, state } = &mut self.entries[position].item else {
             return None;
         };
         let State::Waiting { query, received_at } = std::mem::replace(state, State::Running) else {
@@ -150,19 +214,30 @@
         })
     }
 
+    /// Reserves memory for the response of a request that is about to start, unless it is the next response to be sent.
+    /// Returns `false` if too little memory is left.
+    fn reserve_response(&mut self, position: usize) -> bool {
+        if self.entries.iter().take(position).all(Entry::is_done) {
+            return true;
+        }
+        let entry = &mut self.entries[position];
+        let memory_bytes = Entry::<R, L>::memory_bytes(entry.bytes, self.limits.response_bytes);
+        entry.memory.try_resize(memory_bytes)
+    }
+
     /// Returns whether a request is waiting and no earlier request of its session must complete first.
     fn can_start(&self, position: usize) -> bool {
         let Item::Request {
             request,
             state: State::Waiting { .. },
-        } = &self.items[position].1
+        } = &self.entries[position].item
         else {
             return false;
         };
         let Some(session) = &request.session else {
             return true;
         };
-        let blocks = |(_, item): &(usize, Item<R, L>)| match item {
+        let blocks = |entry: &Entry<R, L>| match &entry.item {
             Item::Request {
                 state: State::Done(_),
                 ..
@@ -174,17 +249,19 @@
                 earlier.session.as_ref() == Some(session) && (earlier.is_write || request.is_write)
             }
         };
-        !self.items.iter().take(position).any(blocks)
+        !self.entries.iter().take(position).any(blocks)
     }
 
-    /// Stores the final response to a request. Does nothing if the number is unknown or the request has a response.
-    pub fn finish(&mut self, number: u64, response: R) {
+    /// Stores the final response of `bytes` bytes to a request. Does nothing if the number is unknown or the request
+    /// has a response.
+    pub fn finish(&mut self, number: u64, response: R, bytes: usize) {
         let position = number
             .checked_sub(self.first_number)
             .and_then(|position| usize::try_from(position).ok());
-        let Some((_, Item::Request { state, .. })) =
-            position.and_then(|position| self.items.get_mut(position))
-        else {
+        let Some(entry) = position.and_then(|position| self.entries.get_mut(position)) else {
+            return;
+        };
+        let Item::Request { state, .. } = &mut entry.item else {
             return;
         };
         match state {
@@ -193,24 +270,26 @@
             State::Waiting { .. } => {}
         }
         *state = State::Done(response);
+        let memory_bytes = Entry::<R, L>::memory_bytes(entry.bytes, bytes);
+        entry.memory.resize_regardless(memory_bytes);
     }
 
     /// Returns the number of the first request without a response, which a CancelRequest cancels.
     pub fn first_pending(&self) -> Option<u64> {
-        let is_pending = |(_, item): &(usize, Item<R, L>)| match item {
+        let is_pending = |entry: &Entry<R, L>| match &entry.item {
             Item::Request { state, .. } => !matches!(state, State::Done(_)),
             Item::LocalResponse(_) => false,
         };
-        self.items
+        self.entries
             .iter()
             .position(is_pending)
             .map(|position| self.first_number + position as u64)
     }
 
     /// Removes and returns the first response, if it is available. `can_send` decides whether a response that needs no
-    /// endpoint may be sent now.
+    /// endpoint may be sent now. Its memory stays reserved until [`on_written`](Self::on_written).
     pub fn pop_output(&mut self, can_send: impl Fn(&L) -> bool) -> Option<Output<R, L>> {
-        match &self.items.front()?.1 {
+        match &self.entries.front()?.item {
             Item::Request {
                 state: State::Done(_),
                 ..
@@ -218,10 +297,11 @@
             Item::LocalResponse(response) if can_send(response) => {}
             _ => return None,
         }
-        let (bytes, item) = self.items.pop_front()?;
+        let entry = self.entries.pop_front()?;
         self.first_number += 1;
-        self.bytes -= bytes;
-        match item {
+        self.bytes -= entry.bytes;
+        self.unwritten.push(entry.memory);
+        match entry.item {
             Item::Request {
                 state: State::Done(response),
                 ..
@@ -230,4 +310,19 @@
             Item::LocalResponse(response) => Some(Output::LocalResponse(response)),
         }
     }
+
+    /// Releases the memory of the responses that were returned by [`pop_output`](Self::pop_output), which have been
+    /// written to the client.
+    pub fn on_written(&mut self) {
+        self.unwritten.clear();
+    }
+
+    /// Discards all queries and responses, and releases their memory: the client's connection has ended.
+    pub fn clear(&mut self) {
+        self.first_number += self.entries.len() as u64;
+        self.entries.clear();
+        self.unwritten.clear();
+        self.bytes = 0;
+        self.running = 0;
+    }
 }
--- a/crates/pg-session/tests/extended.rs
+++ b/crates/pg-session/tests/extended.rs
@@ -35,7 +35,7 @@
     Rc::new(SharedResources {
         templates: TemplateStore::new(limits.text_bytes, oid::BYTEA),
         limits,
-        budgets: SharedBudgets::new(&limits),
+        budgets: SharedBudgets::new(&limits, 1 << 20),
         classes: ClassCatalog::new(
             names,
             vec![
@@ -256,10 +256,10 @@
             if finished.request.is_write && is_served {
                 served_writes.push(id);
             }
-            let cancelled = session.finish(finished.number, is_served, is_served);
+            let cancelled = session.finish(finished.number, is_served, is_served, 1);
             running.retain(|request| !cancelled.contains(&request.number));
             prop_assert!(
-                session.finish(finished.number, !is_served, !is_served).is_empty(),
+                session.finish(finished.number, !is_served, !is_served, 1).is_empty(),
                 "a second response had an effect"
             );
         }
@@ -279,7 +279,7 @@
         let Some(start) = session.start_next() else {
             return outputs;
         };
-        session.finish(start.number, true, true);
+        session.finish(start.number, true, true, 1);
     }
 }
 
@@ -321,7 +321,7 @@
             None
         ]
     );
-    session.finish(start.number, true, true);
+    session.finish(start.number, true, true, 1);
     assert_eq!(
         session.pop_output(),
         Some(Output::Response {
--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -98,7 +98,7 @@
             accepted_at: shared.clock.now(),
             state: ConnectionState::AwaitingStartup { unused },
             has_input_ended: false,
-            simple_queries: SimpleQueries::new(),
+            simple_queries: SimpleQueries::new(&shared),
             is_skipping_to_sync: false,
             extended_queries: is_extended.then(|| ExtendedQueries::new(&shared)),
             cancellation: Rc::default(),
--- a/crates/router/src/client/extended_queries.rs
+++ b/crates/router/src/client/extended_queries.rs
@@ -6,11 +6,12 @@
 use super::outstanding::OutstandingRequests;
 use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error};
-use super::wakeup::{Wakeup, next_wakeup};
+use super::wakeup::{Wakeup, next_wakeup, wait_for_memory};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
 use crate::runtime::shared::Shared;
+use futures_lite::future::or;
 use reelrill_pg_protocol::backend::{self, Column};
 use reelrill_pg_protocol::frontend::{self, Command};
 use reelrill_pg_protocol::{Format, frame, put_message};
@@ -88,7 +89,8 @@
         };
         let response = self.convert_response(response, request.result_format);
         let is_served = matches!(response, FinalResponse::Served(_));
-        let abandoned = self.session.finish(number, response, is_served);
+        let bytes = response.memory_bytes();
+        let abandoned = self.session.finish(number, response, is_served, bytes);
         self.outstanding.abandon(&abandoned)
     }
 
@@ -100,7 +102,8 @@
         };
         let Some(request) = self.outstanding.cancel(number) else {
             // The request has not been started, and neither has any later one.
-            self.session.finish(number, FinalResponse::Cancelled, false);
+            self.session
+                .finish(number, FinalResponse::Cancelled, false, 0);
             return Vec::new();
         };
         let mut abandoned = vec![request];
@@ -178,8 +181,10 @@
         self.state.on_request();
         self.cancellation.reset();
         let ended = self.serve_pipeline().await;
-        // Requests are still outstanding only if the connection must be closed.
+        // Requests are still queued or outstanding only if the connection must be closed.
         if let Some(extended) = &mut self.extended_queries {
+            extended.session.clear();
+            self.shared.pipeline_memory_released.wake_next();
             let abandoned = extended.outstanding.abandon_all();
             self.notify_cancelled(abandoned).await;
         }
@@ -200,6 +205,7 @@
             self.queue_commands();
             self.finish_responses().await;
             self.start_pipelined_requests().await;
+            self.shared.pipeline_memory_released.wake_next();
             // Consecutive messages are sent in one write, such as a BindComplete with the response that follows it.
             is_flush_due |= self.put_outputs(&mut out);
             let is_idle = self.is_pipeline_idle();
@@ -207,6 +213,9 @@
                 self.write(&out).await?;
                 out.clear();
                 is_flush_due = false;
+                if let Some(extended) = &mut self.extended_queries {
+                    extended.session.on_written();
+                }
                 // Input and responses that arrived during the write are processed before the next wait.
                 continue;
             }
@@ -222,7 +231,7 @@
         extended.is_none_or(|extended| extended.session.is_idle())
     }
 
-    /// Waits for a response, a cancellation or more input. Pipelined input stays in the buffer, whose growth is bounded
+    /// Waits for a response, a cancellation, memory or more input. Pipelined input stays in the buffer, whose growth is bounded
     /// by the read-ahead limit.
     async fn wait_on_pipeline(&mut self) -> Result<(), CloseReason> {
         let Some(extended) = &mut self.extended_queries else {
@@ -234,8 +243,11 @@
             &self.stream,
             &self.shutdown_read_limit,
         );
+        let is_waiting_for_memory = extended.session.is_waiting_for_memory();
+        let memory_released = wait_for_memory(&self.shared, is_waiting_for_memory);
         let response = extended.outstanding.response();
-        let abandoned = match next_wakeup(response, &self.cancellation, read).await? {
+        let wakeup = next_wakeup(response, &self.cancellation, read);
+        let abandoned = match or(wakeup, memory_released).await? {
             Wakeup::Response(number, response) => extended.finish(number, response),
             Wakeup::CancelRequested => extended.cancel_first(),
             Wakeup::Progress => Vec::new(),
--- a/crates/router/src/client/simple_queries.rs
+++ b/crates/router/src/client/simple_queries.rs
@@ -6,10 +6,11 @@
 use super::outstanding::OutstandingRequests;
 use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error, put_result};
-use super::wakeup::{Wakeup, next_wakeup};
+use super::wakeup::{Wakeup, next_wakeup, wait_for_memory};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
+use crate::runtime::shared::Shared;
 use futures_lite::future::or;
 use reelrill_pg_protocol::{Format, backend, frame, put_message, sqlstate};
 use reelrill_pg_session::SessionError;
@@ -30,6 +31,16 @@
     },
 }
 
+impl LocalResponse {
+    /// Returns the number of bytes that the response holds besides its fixed size.
+    fn memory_bytes(&self) -> usize {
+        match self {
+            LocalResponse::Error { message, .. } => message.len(),
+            LocalResponse::EmptyQuery | LocalResponse::Complete(_) => 0,
+        }
+    }
+}
+
 /// The simple queries of one client that have no response yet.
 pub struct SimpleQueries {
     queue: SimpleQueryQueue<FinalResponse, LocalResponse>,
@@ -38,19 +49,20 @@
 
 impl SimpleQueries {
     /// Creates an empty set of queries.
-    pub fn new() -> SimpleQueries {
+    pub fn new(shared: &Shared) -> SimpleQueries {
         let limits = QueueLimits::default();
-        let outstanding = OutstandingRequests::new(limits.running * 2);
+        let memory = shared.session_resources.budgets.pipeline_bytes.clone();
         SimpleQueries {
-            queue: SimpleQueryQueue::new(limits),
-            outstanding,
+            queue: SimpleQueryQueue::new(limits, memory),
+            outstanding: OutstandingRequests::new(limits.running * 2),
         }
     }
 
     fn finish(&mut self, number: u64, response: FinalResponse) {
         // A request that was cancelled is not outstanding any more, and the queue ignores its response.
         let _ = self.outstanding.remove(number);
-        self.queue.finish(number, response);
+        let bytes = response.memory_bytes();
+        self.queue.finish(number, response, bytes);
     }
 }
 
@@ -61,7 +73,9 @@
         self.state.on_request();
         self.cancellation.reset();
         let ended = self.serve_simple_queries().await;
-        // Requests are still outstanding only if the client has disconnected or does not read its responses.
+        // Requests are still queued or outstanding only if the client has disconnected or does not read its responses.
+        self.simple_queries.queue.clear();
+        self.shared.pipeline_memory_released.wake_next();
         let abandoned = self.simple_queries.outstanding.abandon_all();
         self.notify_cancelled(abandoned).await;
         ended
@@ -82,10 +96,12 @@
                 self.simple_queries.finish(number, response);
             }
             self.start_simple_queries().await;
+            self.shared.pipeline_memory_released.wake_next();
             self.put_simple_responses(&mut out);
             if !out.is_empty() {
                 self.write(&out).await?;
                 out.clear();
+                self.simple_queries.queue.on_written();
                 // Input and responses that arrived during the write are processed before the next wait.
                 continue;
             }
@@ -96,7 +112,7 @@
         }
     }
 
-    /// Waits for a response, a cancellation, more input, or for the router to become ready to serve.
+    /// Waits for a response, a cancellation, more input, memory, or for the router to become ready to serve.
     async fn wait_on_simple_queries(&mut self) -> Result<(), CloseReason> {
         let became_ready = async {
             if self.shared.ready.is_raised() {
@@ -105,6 +121,8 @@
             self.shared.ready.wait().await;
             Ok(Wakeup::Progress)
         };
+        let is_waiting_for_memory = self.simple_queries.queue.is_waiting_for_memory();
+        let memory_released = wait_for_memory(&self.shared, is_waiting_for_memory);
         let response = self.simple_queries.outstanding.response();
         let read = read_ahead(
             &self.shared,
@@ -113,7 +131,7 @@
             &self.shutdown_read_limit,
         );
         let wakeup = next_wakeup(response, &self.cancellation, read);
-        match or(wakeup, became_ready).await? {
+        match or(wakeup, or(became_ready, memory_released)).await? {
             Wakeup::Response(number, response) => self.simple_queries.finish(number, response),
             Wakeup::CancelRequested => self.cancel_simple_query().await,
             Wakeup::Progress => {}
@@ -147,10 +165,7 @@
         }
         let is_blank = |c: char| c.is_whitespace() || c == ';';
         if text.trim_matches(is_blank).is_empty() {
-            return self
-                .simple_queries
-                .queue
-                .push_local_response(LocalResponse::EmptyQuery);
+            return self.push_local_response(LocalResponse::EmptyQuery);
         }
         match self.parse_request(text) {
             Ok((request, query)) => {
@@ -160,11 +175,18 @@
             }
             Err(error) => {
                 let response = self.local_response(text, &error);
-                self.simple_queries.queue.push_local_response(response);
+                self.push_local_response(response);
             }
         }
     }
 
+    fn push_local_response(&mut self, response: LocalResponse) {
+        let bytes = response.memory_bytes();
+        self.simple_queries
+            .queue
+            .push_local_response(response, bytes);
+    }
+
     fn parse_request(
         &self,
         text: &str,
@@ -212,7 +234,7 @@
             return;
         };
         let queue = &mut self.simple_queries.queue;
-        queue.finish(number, FinalResponse::Cancelled);
+        queue.finish(number, FinalResponse::Cancelled, 0);
         let abandoned = self.simple_queries.outstanding.abandon(&[number]);
         self.notify_cancelled(abandoned).await;
     }
--- a/crates/router/src/client/wakeup.rs
+++ b/crates/router/src/client/wakeup.rs
@@ -3,8 +3,9 @@
 use super::connection::ClientConnection;
 use crate::messages::{ClientRequest, FinalResponse, Message, ResponseTarget};
 use crate::observability::close_reason::CloseReason;
-use crate::runtime::shared::CancellationSignal;
-use futures_lite::future::or;
+use crate::observability::counters::count;
+use crate::runtime::shared::{CancellationSignal, Shared};
+use futures_lite::future::{or, pending};
 use reelrill_routing::RequestId;
 use std::io;
 
@@ -14,7 +15,7 @@
     Response(u64, FinalResponse),
     /// The client has sent a cancel request, which applies to its first outstanding request.
     CancelRequested,
-    /// More input has been read, or the router has become ready to serve.
+    /// More input has been read, memory has been released, or the router has become ready to serve.
     Progress,
 }
 
@@ -46,6 +47,19 @@
     or(response, or(cancelled, read)).await
 }
 
+/// Waits until memory has been released, if a request waits for it, and forever otherwise.
+pub async fn wait_for_memory(
+    shared: &Shared,
+    is_waiting_for_memory: bool,
+) -> Result<Wakeup, CloseReason> {
+    if !is_waiting_for_memory {
+        return pending().await;
+    }
+    count(&shared.counters.waits_for_pipeline_memory);
+    shared.pipeline_memory_released.wait().await;
+    Ok(Wakeup::Progress)
+}
+
 impl ClientConnection {
     /// Sends a request to the dispatcher. Returns whether the dispatcher accepted it, which it does not once it has
     /// ended.
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -75,6 +75,17 @@
     Cancelled,
 }
 
+impl FinalResponse {
+    /// Returns the number of bytes that the response holds besides its fixed size.
+    pub fn memory_bytes(&self) -> usize {
+        let FinalResponse::Served(result) = self else {
+            return 0;
+        };
+        let name_length = result.column.as_ref().map_or(0, |c| c.name.len());
+        result.value.len() + result.command_tag.len() + name_length
+    }
+}
+
 /// The destination of a request's final response. All requests of one client share a channel with capacity for all of
 /// its outstanding requests.
 #[derive(Debug, Clone)]
--- a/crates/router/src/observability/counters.rs
+++ b/crates/router/src/observability/counters.rs
@@ -49,6 +49,9 @@
     failed,
     /// Requests whose client disconnected or cancelled before the response.
     client_left,
+    /// Waits of a client whose next request could not start because its response might not have fit in the memory for
+    /// queued queries and responses.
+    waits_for_pipeline_memory,
     /// Requests that the balancer had not finished by their deadline, so that the router responded by itself.
     deadline_exceeded,
     /// Requests rejected or failed with the reason [`RejectReason::UnknownClass`](reelrill_routing::RejectReason).
--- a/crates/router/src/runtime/mod.rs
+++ b/crates/router/src/runtime/mod.rs
@@ -1,5 +1,5 @@
 //! Provides the infrastructure that all tasks of the router's one thread share: buffers, clocks, the descriptor budget,
-//! the cancellation registry and the schedule of a graceful shutdown.
+//! the memory of pipelines, the cancellation registry and the schedule of a graceful shutdown.
 
 pub mod accept;
 pub mod buffer;
@@ -8,6 +8,7 @@
 pub mod descriptor_budget;
 pub mod flag;
 pub mod interrupted;
+pub mod pipeline_memory;
 pub mod platform_clock;
 pub mod shared;
 pub mod shutdown;
--- a/crates/router/src/runtime/shared.rs
+++ b/crates/router/src/runtime/shared.rs
@@ -13,6 +13,7 @@
     CountGuard, DescriptorBudget, DescriptorPermit, EvictionPriority,
 };
 pub use crate::runtime::flag::Flag;
+use crate::runtime::pipeline_memory::PipelineMemoryReleased;
 use crate::runtime::shutdown::ShutdownSchedule;
 use reelrill_pg_session::extended::SharedResources;
 use reelrill_pg_session::limits::SharedBudgets;
@@ -60,6 +61,8 @@
     request_count: Cell<u64>,
     /// The resources that the prepared statements and pipelines of all clients share.
     pub session_resources: Rc<SharedResources>,
+    /// Wakes the clients that wait for memory for their queued queries and responses.
+    pub pipeline_memory_released: PipelineMemoryReleased,
     /// The clients that can cancel their requests.
     pub cancellations: CancellationRegistry,
 }
@@ -73,6 +76,8 @@
 /// The percentage of the memory limit that large buffers may use. The content of a buffer may be copied twice (into the
 /// statement and into the attempt), and the rest of the process needs about 5 MB.
 const LARGE_BUFFERS_PERCENT: usize = 20;
+/// The percentage of the memory limit that the clients' queued queries and their responses may use.
+const PIPELINES_PERCENT: usize = 20;
 /// The maximum number of bytes that are read at once and discarded.
 const DISCARD_BUFFER_SIZE: usize = 64 * 1024;
 
@@ -82,7 +87,10 @@
     SharedResources {
         templates: TemplateStore::new(extended.limits.text_bytes, extended.data_type.oid()),
         limits: extended.limits,
-        budgets: SharedBudgets::new(&extended.limits),
+        budgets: SharedBudgets::new(
+            &extended.limits,
+            config.memory_limit * PIPELINES_PERCENT / 100,
+        ),
         classes: ClassCatalog::new(
             config.routing.class_names.clone(),
             config.routing.settings.classes.clone(),
@@ -105,6 +113,7 @@
         let deadlines = config.routing.settings.classes.iter().map(|c| c.deadline);
         let shutdown_schedule = ShutdownSchedule::new(deadlines.max().unwrap_or(0));
         let session_resources = new_session_resources(&config);
+        let pipeline_bytes = session_resources.budgets.pipeline_bytes.clone();
         Rc::new(Shared {
             client_descriptors: DescriptorBudget::new(for_clients),
             upstream_descriptors: DescriptorBudget::new(available - for_clients),
@@ -123,6 +132,7 @@
             discard_buffer: RefCell::new(vec![0; DISCARD_BUFFER_SIZE]),
             request_count: Cell::new(0),
             session_resources: Rc::new(session_resources),
+            pipeline_memory_released: PipelineMemoryReleased::new(pipeline_bytes),
             cancellations: CancellationRegistry::default(),
         })
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -4,12 +4,12 @@
 pub use reelrill_test_support::*;
 use serde_json::Value;
 
-/// Starts the router with the given endpoint list, descriptor limit and settings, and waits until it listens.
-/// `extensions` is the text of the extensions file (YAML), if there is one.
+/// Starts the router with the given endpoint list, limits (or only the one on descriptors) and settings, and waits until
+/// it listens. `extensions` is the text of the extensions file (YAML), if there is one.
 pub fn start_router_with(
     discovery: &FakeDiscovery,
     configured_endpoints: &[Value],
-    descriptor_limit: u64,
+    limits: impl Into<ProcessLimits>,
     settings: Value,
     extensions: Option<&str>,
 ) -> RouterProcess {
@@ -17,7 +17,7 @@
         env!("CARGO_BIN_EXE_reelrill"),
         discovery,
         configured_endpoints,
-        descriptor_limit,
+        limits,
         settings,
         extensions,
     )
--- a/crates/router/tests/upstream.rs
+++ b/crates/router/tests/upstream.rs
@@ -24,16 +24,6 @@
     (0..count).map(entry).collect()
 }
 
-/// Returns the peak resident memory of a process in kB.
-fn peak_memory_kb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let peak = status
-        .lines()
-        .find_map(|l| l.strip_prefix("VmHWM:"))
-        .unwrap();
-    peak.trim().trim_end_matches(" kB").parse().unwrap()
-}
-
 /// Returns the peak memory in kB of an idle router that receives a list of `count` endpoints in its configuration, and
 /// the same list from discovery afterwards.
 fn idle_peak_memory_kb(count: usize) -> u64 {
@@ -50,12 +40,12 @@
             .is_some()
     };
     assert!(has_polled("/api/targets"));
-    let at_start_kb = peak_memory_kb(router.pid());
+    let at_start_kb = router.peak_memory_kb();
     discovery.publish(list);
     assert!(has_polled("since=2"));
     println!("{count} endpoints: peak memory {at_start_kb} kB with the list of the configuration");
     assert!(router.counters().contains(" attempts=0 "));
-    peak_memory_kb(router.pid())
+    router.peak_memory_kb()
 }
 
 /// Guards against a router that needs too much memory in a large deployment. The limit for 3,200 endpoints is 1.5 times
--- a/crates/test-support/src/endpoint.rs
+++ b/crates/test-support/src/endpoint.rs
@@ -24,7 +24,7 @@
     Serve,
     /// Returns the value and closes the connection after ReadyForQuery (simple queries only).
     ServeAndClose,
-    /// Returns the value repeated 4096 times, which makes 64 KiB of a request id (simple queries only).
+    /// Returns the value repeated 4096 times, which makes 64 KiB of a request id.
     ServeLarge,
     /// Returns an error with this SQLSTATE.
     Error(&'static str),
@@ -40,6 +40,16 @@
     ServeWithTrailing(&'static [u8]),
 }
 
+impl ScriptedResponse {
+    /// Returns the value that the endpoint sends in place of `value`.
+    fn value(self, value: String) -> String {
+        match self {
+            ScriptedResponse::ServeLarge => value.repeat(LARGE_VALUE_REPEATS),
+            _ => value,
+        }
+    }
+}
+
 /// Names the stage of a request at which a fault occurs. A simple query counts as one Execute and has only the last
 /// three stages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -575,10 +585,8 @@
             return Some(());
         } else {
             match result {
-                Ok(mut value) => {
-                    if scripted == ScriptedResponse::ServeLarge {
-                        value = value.repeat(LARGE_VALUE_REPEATS);
-                    }
+                Ok(value) => {
+                    let value = scripted.value(value);
                     let oid = if self.inner.replica_set().is_some() {
                         oid::TEXT
                     } else {
@@ -680,7 +688,7 @@
                         } else {
                             "SELECT 1"
                         };
-                        self.put_result(&value, format, tag);
+                        self.put_result(&scripted.value(value), format, tag);
                     }
                 }
             }
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -34,6 +34,6 @@
     EndpointActivity, FakeEndpoint, Fault, RequestStage, ScriptedResponse, StatusContent,
     request_id,
 };
-pub use process::{RouterProcess, base_settings};
+pub use process::{ProcessLimits, RouterProcess, base_settings};
 pub use replica_set::{ExecutionLog, FakeReplicaSet, Freshness, StaleReadPolicy};
 pub use shared_state::{SharedState, WAIT_TIMEOUT};
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -31,6 +31,25 @@
     })
 }
 
+/// The limits in the router's configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    /// The value of `limits.sockets`: file descriptors.
+    pub sockets: u64,
+    /// The value of `limits.memory_mb`, in MiB. It is not enforced: tests compare the process's memory with it.
+    pub memory_mb: u64,
+}
+
+impl From<u64> for ProcessLimits {
+    /// Returns limits of `sockets` file descriptors and 192 MiB.
+    fn from(sockets: u64) -> ProcessLimits {
+        ProcessLimits {
+            sockets,
+            memory_mb: 192,
+        }
+    }
+}
+
 /// Owns the process of the router under test, which is killed on drop.
 pub struct RouterProcess {
     child: Child,
@@ -46,8 +65,7 @@
 
 impl RouterProcess {
     /// Starts the program at `exe` and waits until it listens. In its configuration, `known` is the initial endpoint
-    /// list and `sockets` is the value of `limits.sockets`. `extensions` is the text of its extensions file (YAML), if
-    /// there is one.
+    /// list. `extensions` is the text of its extensions file (YAML), if there is one.
     ///
     /// # Panics
     /// If the program can't be started or does not listen within [`WAIT_TIMEOUT`].
@@ -55,7 +73,7 @@
         exe: &str,
         discovery: &FakeDiscovery,
         known: &[Value],
-        sockets: u64,
+        limits: impl Into<ProcessLimits>,
         settings: Value,
         extensions: Option<&str>,
     ) -> RouterProcess {
@@ -63,7 +81,7 @@
             exe,
             discovery.address,
             known,
-            sockets,
+            limits,
             settings,
             extensions,
         )
@@ -77,15 +95,16 @@
         exe: &str,
         discovery: SocketAddr,
         known: &[Value],
-        sockets: u64,
+        limits: impl Into<ProcessLimits>,
         settings: Value,
         extensions: Option<&str>,
     ) -> RouterProcess {
+        let limits = limits.into();
         let dir = tempfile::tempdir().expect("create a temporary directory");
         let path = dir.path().join("config.json");
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
             "known": {"rev": 1, "all": true, "targets": known}, "settings": settings});
         std::fs::write(&path, config.to_string()).expect("write the configuration");
         let mut command = Command::new(exe);
@@ -153,6 +172,19 @@
         self.child.id()
     }
 
+    /// Returns the peak resident memory of the process in kB.
+    ///
+    /// # Panics
+    /// If the process has exited.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()))
+            .expect("read the status of the router process");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let peak = peak.expect("the peak memory of the router process");
+        let digits = peak.trim().trim_end_matches(" kB");
+        digits.parse().expect("a number of kB")
+    }
+
     /// Sends a signal to the process, by its name without `SIG`, such as `HUP`.
     ///
     /// # Panics
