--- a/crates/pg-protocol/src/frame.rs
+++ b/crates/pg-protocol/src/frame.rs
@@ -72,19 +72,34 @@
     bytes: &[u8],
     allows_extended: bool,
 ) -> Result<Option<Frame<'_>>, FrameError> {
-    let may_be_large = match bytes.first() {
-        Some(b'Q') => true,
-        Some(b'P' | b'B') => allows_extended,
-        _ => false,
+    parse(bytes, max_frontend_length(bytes, allows_extended))
+}
+
+/// Parses the header of the first message from a client: its type byte, and its total length in bytes. Returns `None` if
+/// the header is incomplete. The limits are those of [`parse_frontend`].
+///
+/// # Errors
+///
+/// [`FrameError`] if the length field is out of range.
+pub fn parse_frontend_header(
+    bytes: &[u8],
+    allows_extended: bool,
+) -> Result<Option<(u8, usize)>, FrameError> {
+    let Some((&tag, rest)) = bytes.split_first() else {
+        return Ok(None);
     };
-    parse(
-        bytes,
-        if may_be_large {
-            MAX_MESSAGE_LENGTH
-        } else {
-            MAX_SMALL_MESSAGE_LENGTH
-        },
-    )
+    let max_length = max_frontend_length(bytes, allows_extended);
+    let length = parse_length(rest, 4, max_length)?;
+    Ok(length.map(|length| (tag, length + 1)))
+}
+
+/// Returns the maximum of the length field of the first message from a client.
+fn max_frontend_length(bytes: &[u8], allows_extended: bool) -> usize {
+    match bytes.first() {
+        Some(b'Q') => MAX_MESSAGE_LENGTH,
+        Some(b'P' | b'B') if allows_extended => MAX_MESSAGE_LENGTH,
+        _ => MAX_SMALL_MESSAGE_LENGTH,
+    }
 }
 
 /// Parses the first message from an endpoint. Only a DataRow may exceed [`MAX_SMALL_MESSAGE_LENGTH`]; its value has at
--- a/crates/pg-session/src/queue.rs
+++ b/crates/pg-session/src/queue.rs
@@ -63,6 +63,8 @@
     },
     /// A response that needs no endpoint.
     LocalResponse(L),
+    /// The rejections of this many queries in a row.
+    Rejections(u64),
 }
 
 /// A queued query or response, and the memory that it holds.
@@ -110,6 +112,8 @@
     Response(R),
     /// A response that was queued with [`SimpleQueryQueue::push_local_response`].
     LocalResponse(L),
+    /// The rejection of a query, queued with [`SimpleQueryQueue::push_rejection`].
+    Rejection,
 }
 
 /// A client's simple queries, in the order received. `R` is the type of final responses, `L` that of responses that
@@ -188,6 +192,20 @@
         self.push(bytes, Item::LocalResponse(response));
     }
 
+    /// Appends the rejection of a query. Any number of them in a row takes the memory of one entry, so a rejection may
+    /// also be appended to a full queue.
+    pub fn push_rejection(&mut self) {
+        if let Some(Entry {
+            item: Item::Rejections(count),
+            ..
+        }) = self.entries.back_mut()
+        {
+            *count += 1;
+        } else {
+            self.push(0, Item::Rejections(1));
+        }
+    }
+
     /// Returns the next request that may start, and marks it as running. Each request is returned once.
     pub fn start_next(&mut self) -> Option<StartedRequest> {
         self.is_waiting_for_memory = false;
@@ -242,7 +260,8 @@
                 state: State::Done(_),
                 ..
             }
-            | Item::LocalResponse(_) => false,
+            | Item::LocalResponse(_)
+            | Item::Rejections(_) => false,
             Item::Request {
                 request: earlier, ..
             } => {
@@ -278,7 +297,7 @@
     pub fn first_pending(&self) -> Option<u64> {
         let is_pending = |entry: &Entry<R, L>| match &entry.item {
             Item::Request { state, .. } => !matches!(state, State::Done(_)),
-            Item::LocalResponse(_) => false,
+            Item::LocalResponse(_) | Item::Rejections(_) => false,
         };
         self.entries
             .iter()
@@ -289,11 +308,16 @@
     /// Removes and returns the first response, if it is available. `can_send` decides whether a response that needs no
     /// endpoint may be sent now. Its memory stays reserved until [`on_written`](Self::on_written).
     pub fn pop_output(&mut self, can_send: impl Fn(&L) -> bool) -> Option<Output<R, L>> {
-        match &self.entries.front()?.item {
+        match &mut self.entries.front_mut()?.item {
             Item::Request {
                 state: State::Done(_),
                 ..
             } => {}
+            Item::Rejections(count @ 2..) => {
+                *count -= 1;
+                return Some(Output::Rejection);
+            }
+            Item::Rejections(_) => {}
             Item::LocalResponse(response) if can_send(response) => {}
             _ => return None,
         }
@@ -308,6 +332,7 @@
             } => Some(Output::Response(response)),
             Item::Request { .. } => None,
             Item::LocalResponse(response) => Some(Output::LocalResponse(response)),
+            Item::Rejections(_) => Some(Output::Rejection),
         }
     }
 
--- a/crates/pg-session/tests/queue.rs
+++ b/crates/pg-session/tests/queue.rs
@@ -212,3 +212,30 @@
     let queue = queue_with_budget(&budget, 1);
     assert!(queue.is_full());
 }
+
+/// Guards against rejections that are released before the responses to earlier queries, and against memory for each
+/// of them: a client may have written any number of queries that are rejected while an earlier one has no response.
+#[test]
+fn rejections_wait_for_their_turn_in_the_memory_of_one_entry() {
+    let budget = Budget::new(usize::MAX);
+    let mut queue = queue_with_budget(&budget, 1);
+    assert_eq!(start_all(&mut queue), [0]);
+    queue.push_rejection();
+    let used = budget.used();
+    for _ in 0..1000 {
+        queue.push_rejection();
+    }
+    assert_eq!(budget.used(), used);
+    assert_eq!(queue.pop_output(|_| true), None);
+    queue.finish(0, 7, 0);
+    queue.push_local_response("empty", 0);
+    let outputs: Vec<_> = std::iter::from_fn(|| queue.pop_output(|_| true)).collect();
+    assert_eq!(outputs.len(), 1 + 1001 + 1);
+    assert_eq!(outputs[0], Output::Response(7));
+    assert!(
+        outputs[1..=1001]
+            .iter()
+            .all(|output| *output == Output::Rejection)
+    );
+    assert!(queue.is_empty());
+}
--- a/crates/router/src/client/closing.rs
+++ b/crates/router/src/client/closing.rs
@@ -13,6 +13,7 @@
 use reelrill_pg_protocol::frame::FrameError;
 use reelrill_pg_protocol::frontend::CommandError;
 use reelrill_pg_protocol::{backend, sqlstate};
+use std::cell::Cell;
 use std::io::{ErrorKind, Read as _};
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
@@ -72,18 +73,20 @@
 
     /// Shuts down the router's sending side and discards further input until the client closes its side, `max_duration`
     /// has passed or the connection is evicted. Closing with bytes unread would reset the connection, and the client
-    /// might not receive the error. Nothing is stored, and other tasks run after each read.
-    pub(super) async fn lingering_close(&mut self, max_duration: Duration) {
+    /// might not receive the error. Nothing is stored, and other tasks run after each read. Returns the number of bytes
+    /// discarded.
+    pub(super) async fn lingering_close(&mut self, max_duration: Duration) -> usize {
+        let discarded = Cell::new(self.buffer.bytes().len());
         self.buffer.release();
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
-            return;
+            return discarded.get();
         }
         let shared = &self.shared;
         let discard = async {
             let read = |mut s: &TcpStream| s.read(&mut shared.discard_buffer.borrow_mut());
             loop {
                 match self.stream.read_with(read).await {
-                    Ok(1..) => {}
+                    Ok(length @ 1..) => discarded.set(discarded.get() + length),
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
                     Ok(0) | Err(_) => return,
                 }
@@ -101,5 +104,6 @@
                 .await;
         };
         or(discard, or(timeout, evicted)).await;
+        discarded.get()
     }
 }
--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -5,6 +5,7 @@
 
 use super::connection_state::ConnectionState;
 use super::extended_queries::ExtendedQueries;
+use super::input_backlog::{InputBacklog, ReadEnd};
 use super::message_kind::MessageKind;
 use super::reading::{READ_AHEAD_LIMIT, ShutdownReadLimit, starts_with_complete_message};
 use super::simple_queries::SimpleQueries;
@@ -42,6 +43,7 @@
     let mut client = ClientConnection::new(shared, stream, unused);
     let ended = client.run().await;
     let reason = ended.err().unwrap_or(CloseReason::Terminate);
+    let mut discarded_bytes = 0;
     if reason.is_initiated_by_router() {
         // An unused connection is unlikely to send a request just now, and its descriptor is needed.
         let is_expendable = client.state.is_unused() && reason == CloseReason::Evicted;
@@ -50,12 +52,13 @@
         } else {
             closing::LINGER_BETWEEN_REQUESTS
         };
-        client.lingering_close(max_linger).await;
+        discarded_bytes = client.lingering_close(max_linger).await;
     }
     if let Some(process) = client.cancellation_process {
         client.shared.cancellations.remove(process);
     }
-    info!(client.shared.log, "connection ended"; "with" => "client", "reason" => reason.code());
+    info!(client.shared.log, "connection ended"; "with" => "client", "reason" => reason.code(),
+          "discarded_bytes" => discarded_bytes);
 }
 
 /// Owns one client's connection, its buffer and its queries.
@@ -79,6 +82,8 @@
     cancellation_process: Option<u32>,
     /// Limits how much is read from the connection late in a graceful shutdown.
     pub(super) shutdown_read_limit: ShutdownReadLimit,
+    /// Whether the client may have written input that has not reached the router's socket yet.
+    pub(super) backlog: InputBacklog,
 }
 
 /// The event that ends a connection's wait for input.
@@ -104,6 +109,7 @@
             cancellation: Rc::default(),
             cancellation_process: None,
             shutdown_read_limit: ShutdownReadLimit::default(),
+            backlog: InputBacklog::default(),
             shared,
         }
     }
@@ -191,7 +197,7 @@
     /// Returns the close reason if a read with this result ends the connection.
     fn end_of_input(&self, read: &std::io::Result<usize>) -> Option<CloseReason> {
         match read {
-            Ok(0) if self.buffer.bytes().is_empty() => Some(CloseReason::Eof),
+            Ok(0) if self.is_between_messages() => Some(CloseReason::Eof),
             Ok(0) => Some(CloseReason::Truncated),
             Ok(_) => None,
             Err(_) => Some(CloseReason::Reset),
@@ -200,35 +206,54 @@
 
     /// Reads the input received so far, up to the read-ahead limit, without waiting for more.
     pub(super) fn read_available(&mut self) -> Result<(), CloseReason> {
+        let end = self.read_until_empty()?;
+        let now = self.shared.clock.now();
+        self.backlog.on_read(now, self.buffer.bytes_read(), end);
+        Ok(())
+    }
+
+    fn read_until_empty(&mut self) -> Result<ReadEnd, CloseReason> {
         while !self.has_input_ended {
             if self.buffer.bytes().len() >= READ_AHEAD_LIMIT || self.has_reached_read_limit() {
                 // The end of input may follow bytes that stay unread, so it is detected without reading.
                 self.has_input_ended = socket::has_disconnected(self.stream.get_ref());
-                return Ok(());
+                return Ok(ReadEnd::LimitReached);
             }
             match self.buffer.try_fill(self.stream.get_ref()) {
                 Ok(len) => self.has_input_ended = len == 0,
                 // At the memory limit, further input stays in the socket, as with a full buffer.
-                Err(e) if MemoryLimitReached::caused(&e) => return Ok(()),
+                Err(e) if MemoryLimitReached::caused(&e) => return Ok(ReadEnd::LimitReached),
                 Err(e) => match e.kind() {
                     ErrorKind::Interrupted => {}
-                    ErrorKind::WouldBlock => return Ok(()),
+                    ErrorKind::WouldBlock => return Ok(ReadEnd::SocketEmpty),
                     _ => return Err(CloseReason::Reset),
                 },
             }
         }
-        Ok(())
+        Ok(ReadEnd::SocketEmpty)
     }
 
     /// Returns whether nothing more may be read because of a graceful shutdown.
     fn has_reached_read_limit(&self) -> bool {
-        self.shutdown_read_limit
-            .is_reached(&self.shared, &self.buffer, self.stream.get_ref())
+        self.shutdown_read_limit.is_reached(
+            &self.shared,
+            &self.buffer,
+            self.stream.get_ref(),
+            &self.backlog,
+        )
+    }
+
+    /// Returns whether no part of the next message has been received.
+    fn is_between_messages(&self) -> bool {
+        self.buffer.bytes().is_empty() && !self.simple_queries.is_rejecting()
     }
 
-    /// Returns whether the buffer begins with a message that is complete or can't be parsed. Either requires a
+    /// Returns whether the input begins with a message that is complete or can't be parsed. Either requires a
     /// response.
     fn has_complete_message(&self) -> bool {
+        if self.simple_queries.is_rejecting() {
+            return !self.buffer.is_skipping();
+        }
         starts_with_complete_message(
             self.buffer.bytes(),
             self.state.is_startup_complete(),
@@ -259,6 +284,9 @@
             (true, true) => ShutdownWait::FirstRequest {
                 accepted_at: self.accepted_at,
             },
+            (true, false) if self.backlog.may_exist_at(now) => ShutdownWait::InputPause {
+                paused_at: self.backlog.paused_at(),
+            },
             (true, false) => ShutdownWait::CloseAtOnce,
         };
         let (eviction_priority, started_at, timeout_reason) = if self.state.is_unused() {
@@ -297,7 +325,7 @@
 
     /// Waits for more input. The router may close the connection meanwhile, but only after it has checked the input
     /// received so far, because a request that was read must get a response.
-    async fn wait_for_input(&mut self) -> Result<(), CloseReason> {
+    pub(super) async fn wait_for_input(&mut self) -> Result<(), CloseReason> {
         if self.has_input_ended {
             return self.end_of_input(&Ok(0)).map_or(Ok(()), Err);
         }
@@ -305,7 +333,7 @@
         if self.has_reached_read_limit() {
             return Err(CloseReason::Shutdown);
         }
-        let is_between_messages = self.buffer.bytes().is_empty();
+        let is_between_messages = self.is_between_messages();
         let limits = self.wait_limits(is_between_messages);
         let is_idle = limits.eviction_priority == EvictionPriority::Idle;
         let _idle = is_idle.then(|| self.shared.client_descriptors.count_idle());
--- a/crates/router/src/client/extended_queries.rs
+++ b/crates/router/src/client/extended_queries.rs
@@ -242,6 +242,7 @@
             &mut self.buffer,
             &self.stream,
             &self.shutdown_read_limit,
+            &self.backlog,
         );
         let is_waiting_for_memory = extended.session.is_waiting_for_memory();
         let memory_released = wait_for_memory(&self.shared, is_waiting_for_memory);
--- a/crates/router/src/client/reading.rs
+++ b/crates/router/src/client/reading.rs
@@ -1,22 +1,28 @@
 //! Bounds how much is read from a client's connection: ahead of outstanding responses, and late in a graceful shutdown.
 
+use super::input_backlog::InputBacklog;
 use super::socket;
 use crate::runtime::buffer::{Buffer, MemoryLimitReached};
 use crate::runtime::shared::Shared;
-use async_io::Async;
+use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
 use reelrill_pg_protocol::{frame, frontend};
 use std::cell::Cell;
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// The number of bytes that are still read from a connection once a graceful shutdown guarantees no response to new
 /// input any more, in addition to the bytes that are in its socket by then.
 const SHUTDOWN_READ_ALLOWANCE: u64 = 64 * 1024;
+/// The pause between reads of input that needs no response, late in a graceful shutdown.
+const LATE_READ_INTERVAL: Duration = Duration::from_millis(3);
 /// The maximum number of bytes that are read ahead while a response is outstanding. Reading ahead is needed because the
 /// end of a client's input can only be read after everything before it.
 pub const READ_AHEAD_LIMIT: usize = 64 * 1024;
 
-/// Limits how much is read from one connection late in a graceful shutdown. Without the limit, the requests of a client
-/// that never pauses would be read and rejected at full speed until the router stops reading.
+/// Limits how much is read from one connection late in a graceful shutdown. Without the limit, every client that sends
+/// requests one after another would have them read and rejected until the router stops reading. The limit applies once
+/// everything that the client may have written in time for a guaranteed response has been read.
 #[derive(Default)]
 pub struct ShutdownReadLimit {
     /// The total of bytes read from the connection at which reading ends; `None` until the limit applies.
@@ -25,11 +31,17 @@
 
 impl ShutdownReadLimit {
     /// Returns whether nothing more may be read from the connection.
-    pub fn is_reached(&self, shared: &Shared, buffer: &Buffer, stream: &TcpStream) -> bool {
+    pub fn is_reached(
+        &self,
+        shared: &Shared,
+        buffer: &Buffer,
+        stream: &TcpStream,
+        backlog: &InputBacklog,
+    ) -> bool {
         if shared.has_read_deadline_passed() {
             return true;
         }
-        if !shared.can_drop_new_input() {
+        if !shared.can_drop_new_input() || backlog.may_exist_at(shared.clock.now()) {
             return false;
         }
         let max_bytes_read = self.max_bytes_read.get().unwrap_or_else(|| {
@@ -55,6 +67,16 @@
     }
 }
 
+/// Lets other tasks run after queries have been rejected without waiting for an endpoint. Once new input needs no response
+/// any more, pauses: a client that sends at full speed would take processor time from others.
+pub async fn pause_after_rejections(shared: &Shared) {
+    if shared.can_drop_new_input() {
+        Timer::after(LATE_READ_INTERVAL).await;
+    } else {
+        yield_now().await;
+    }
+}
+
 /// Reads ahead while a response is outstanding. If nothing more may be read, waits until the client disconnects and
 /// then returns 0, as at the end of input: the end itself cannot be read before the unread bytes.
 pub async fn read_ahead(
@@ -62,9 +84,10 @@
     buffer: &mut Buffer,
     stream: &Async<TcpStream>,
     shutdown_read_limit: &ShutdownReadLimit,
+    backlog: &InputBacklog,
 ) -> std::io::Result<usize> {
     let can_read = buffer.bytes().len() < READ_AHEAD_LIMIT
-        && !shutdown_read_limit.is_reached(shared, buffer, stream.get_ref());
+        && !shutdown_read_limit.is_reached(shared, buffer, stream.get_ref(), backlog);
     if can_read {
         match buffer.fill(stream).await {
             // At the memory limit, nothing more may be read, as with a full buffer.
--- a/crates/router/src/client/simple_queries.rs
+++ b/crates/router/src/client/simple_queries.rs
@@ -4,14 +4,14 @@
 
 use super::connection::ClientConnection;
 use super::outstanding::OutstandingRequests;
-use super::reading::read_ahead;
+use super::reading::{pause_after_rejections, read_ahead};
 use super::responses::{WRITE_BATCH_SIZE, put_error, put_result};
 use super::wakeup::{Wakeup, next_wakeup, wait_for_memory};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
 use crate::runtime::shared::Shared;
-use futures_lite::future::or;
+use futures_lite::future::{or, pending};
 use reelrill_pg_protocol::{Format, backend, frame, put_message, sqlstate};
 use reelrill_pg_session::SessionError;
 use reelrill_pg_session::endpoint_query::{EndpointQuery, SimpleQuery};
@@ -45,6 +45,10 @@
 pub struct SimpleQueries {
     queue: SimpleQueryQueue<FinalResponse, LocalResponse>,
     outstanding: OutstandingRequests,
+    /// Whether the input begins with the rest of a query that is rejected. Its bytes are skipped.
+    is_rejecting: bool,
+    /// Whether queries have been rejected since the last pause.
+    is_pause_due: bool,
 }
 
 impl SimpleQueries {
@@ -55,9 +59,16 @@
         SimpleQueries {
             queue: SimpleQueryQueue::new(limits, memory),
             outstanding: OutstandingRequests::new(limits.running * 2),
+            is_rejecting: false,
+            is_pause_due: false,
         }
     }
 
+    /// Returns whether the input begins with the rest of a query that is rejected.
+    pub fn is_rejecting(&self) -> bool {
+        self.is_rejecting
+    }
+
     fn finish(&mut self, number: u64, response: FinalResponse) {
         // A request that was cancelled is not outstanding any more, and the queue ignores its response.
         let _ = self.outstanding.remove(number);
@@ -84,6 +95,9 @@
     async fn serve_simple_queries(&mut self) -> Result<(), CloseReason> {
         let mut out = Vec::new();
         loop {
+            if std::mem::take(&mut self.simple_queries.is_pause_due) {
+                pause_after_rejections(&self.shared).await;
+            }
             self.queue_simple_queries();
             // The end of input may follow the queries, and no request must be started for a client that has
             // disconnected.
@@ -105,33 +119,49 @@
                 // Input and responses that arrived during the write are processed before the next wait.
                 continue;
             }
-            if self.simple_queries.queue.is_empty() {
+            if !self.simple_queries.queue.is_empty() {
+                self.wait_on_simple_queries().await?;
+            } else if self.simple_queries.is_rejecting {
+                self.wait_for_input().await?;
+            } else {
                 return Ok(());
             }
-            self.wait_on_simple_queries().await?;
         }
     }
 
-    /// Waits for a response, a cancellation, more input, memory, or for the router to become ready to serve.
+    /// Waits for a response, a cancellation, more input, memory, for the router to become ready to serve, or for the
+    /// time from which a graceful shutdown rejects queries.
     async fn wait_on_simple_queries(&mut self) -> Result<(), CloseReason> {
         let became_ready = async {
             if self.shared.ready.is_raised() {
-                std::future::pending::<()>().await;
+                pending::<()>().await;
             }
             self.shared.ready.wait().await;
             Ok(Wakeup::Progress)
         };
         let is_waiting_for_memory = self.simple_queries.queue.is_waiting_for_memory();
         let memory_released = wait_for_memory(&self.shared, is_waiting_for_memory);
+        // Only input that has not been queued is affected.
+        let has_unqueued_input = !self.buffer.bytes().is_empty();
+        let shared = self.shared.clone();
+        let rejection_started = async {
+            if !has_unqueued_input {
+                pending::<()>().await;
+            }
+            shared.rejection_started().await;
+            Ok(Wakeup::Progress)
+        };
         let response = self.simple_queries.outstanding.response();
         let read = read_ahead(
             &self.shared,
             &mut self.buffer,
             &self.stream,
             &self.shutdown_read_limit,
+            &self.backlog,
         );
         let wakeup = next_wakeup(response, &self.cancellation, read);
-        match or(wakeup, or(became_ready, memory_released)).await? {
+        let capacity_changed = or(became_ready, or(memory_released, rejection_started));
+        match or(wakeup, capacity_changed).await? {
             Wakeup::Response(number, response) => self.simple_queries.finish(number, response),
             Wakeup::CancelRequested => self.cancel_simple_query().await,
             Wakeup::Progress => {}
@@ -140,8 +170,11 @@
     }
 
     /// Passes the complete queries at the start of the buffer to the queue, until it is full or a message of another
-    /// kind follows.
+    /// kind follows. Late in a graceful shutdown, rejects them instead.
     fn queue_simple_queries(&mut self) {
+        if self.simple_queries.is_rejecting || self.shared.should_reject_new_requests() {
+            return self.reject_simple_queries();
+        }
         let is_extended = self.extended_queries.is_some();
         while !self.simple_queries.queue.is_full() {
             let Ok(Some((b'Q', body, len))) =
@@ -159,6 +192,28 @@
         }
     }
 
+    /// Queues the rejections of the queries at the start of the input, until a message of another kind follows. The
+    /// queries are not stored, so that all that a client has written can be read, however much it is, while its earlier
+    /// queries wait for their responses.
+    fn reject_simple_queries(&mut self) {
+        let is_extended = self.extended_queries.is_some();
+        while !self.buffer.is_skipping() {
+            if std::mem::take(&mut self.simple_queries.is_rejecting) {
+                self.simple_queries.queue.push_rejection();
+                self.simple_queries.is_pause_due = true;
+                count(&self.shared.counters.requests);
+                count(&self.shared.counters.rejected);
+            }
+            let header = frame::parse_frontend_header(self.buffer.bytes(), is_extended);
+            let Ok(Some((b'Q', length))) = header else {
+                return;
+            };
+            self.buffer.skip(length);
+            self.simple_queries.is_rejecting = true;
+            self.shared.last_arrival.set(self.shared.clock.now());
+        }
+    }
+
     fn on_simple_query(&mut self, text: &str, len: usize) {
         if let Some(extended) = &mut self.extended_queries {
             extended.on_simple_query();
@@ -250,6 +305,9 @@
             match output {
                 Output::Response(FinalResponse::Served(result)) => put_result(out, &result),
                 Output::Response(response) => put_error(out, &response),
+                Output::Rejection => {
+                    put_error(out, &FinalResponse::Rejected { retry_after: None });
+                }
                 Output::LocalResponse(LocalResponse::EmptyQuery) => put_message(out, b'I', &[]),
                 Output::LocalResponse(LocalResponse::Complete(tag)) => {
                     backend::put_command_complete(out, tag)
--- a/crates/router/src/client/wait_limits.rs
+++ b/crates/router/src/client/wait_limits.rs
@@ -29,6 +29,11 @@
 pub enum ShutdownWait {
     /// The connection is closed at once: it is idle.
     CloseAtOnce,
+    /// The connection stays open until its client pauses, because input that it has written may still be in transit.
+    InputPause {
+        /// The time at which the client has paused, if no input arrives before.
+        paused_at: Timestamp,
+    },
     /// The connection stays open for its first request. Otherwise the client would lose that request, and could not
     /// send it on another connection either.
     FirstRequest {
@@ -47,6 +52,7 @@
         let last = read_deadline.saturating_sub(FINAL_READ_MARGIN);
         match self {
             ShutdownWait::CloseAtOnce => now,
+            ShutdownWait::InputPause { paused_at } => last.min(paused_at),
             ShutdownWait::FirstRequest { accepted_at } => {
                 let started_at = accepted_at.max(shared.shutdown_started_at.get().unwrap_or(now));
                 last.min(started_at.saturating_add(SHUTDOWN_FIRST_REQUEST_TIMEOUT))
--- a/crates/router/src/runtime/buffer.rs
+++ b/crates/router/src/runtime/buffer.rs
@@ -54,6 +54,8 @@
     end: usize,
     /// The number of bytes read since the connection was opened.
     bytes_read: u64,
+    /// The number of bytes that are discarded as soon as they are read. Above 0 only while the buffer is empty.
+    skipped_length: usize,
 }
 
 impl Drop for Buffer {
@@ -76,6 +78,7 @@
             start: 0,
             end: 0,
             bytes_read: 0,
+            skipped_length: 0,
         }
     }
 
@@ -101,6 +104,18 @@
         }
     }
 
+    /// Removes the first `length` bytes of the input. Those that have not been read yet are never stored: they are
+    /// discarded by the reads that follow.
+    pub fn skip(&mut self, length: usize) {
+        self.skipped_length = length.saturating_sub(self.bytes().len());
+        self.consume(length);
+    }
+
+    /// Returns whether input that must be skipped has not been read yet.
+    pub fn is_skipping(&self) -> bool {
+        self.skipped_length > 0
+    }
+
     /// Discards the content, and returns the memory to the budget.
     pub fn release(&mut self) {
         self.budget
@@ -115,6 +130,9 @@
             self.data.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
         }
+        if self.is_skipping() && self.data.len() < RETAINED_SIZE {
+            self.data.resize(RETAINED_SIZE, 0);
+        }
         if self.end == self.data.len() {
             let len = (self.data.len() * 2).max(INITIAL_SIZE);
             let used = self.budget.used.get() + counted_size(len) - counted_size(self.data.len());
@@ -133,6 +151,9 @@
     fn on_read(&mut self, length: usize) {
         self.end += length;
         self.bytes_read += length as u64;
+        if self.is_skipping() {
+            self.skip(self.skipped_length);
+        }
     }
 
     /// Reads the available bytes without waiting. Returns their number; 0 is the end of the stream.
--- a/crates/router/src/runtime/buffer/tests.rs
+++ b/crates/router/src/runtime/buffer/tests.rs
@@ -51,3 +51,27 @@
     second.release();
     assert_eq!(budget.used.get(), 0);
 }
+
+/// Guards against a message that is skipped and still takes memory, and against one whose rest is taken for the next
+/// message.
+#[test]
+fn skipped_input_is_not_stored_and_ends_at_its_last_byte() {
+    let mut buffer = Buffer::new(&MemoryBudget::new(0));
+    let read = |buffer: &mut Buffer, input: &[u8]| {
+        buffer.free_space().unwrap()[..input.len()].copy_from_slice(input);
+        buffer.on_read(input.len());
+    };
+    read(&mut buffer, b"head");
+    buffer.skip(4 + RETAINED_SIZE);
+    for _ in 0..RETAINED_SIZE / 16 {
+        assert!(buffer.is_skipping() && buffer.bytes().is_empty());
+        read(&mut buffer, &[b'x'; 16]);
+    }
+    assert!(!buffer.is_skipping());
+    read(&mut buffer, b"12next");
+    buffer.skip(2);
+    assert_eq!(
+        (buffer.is_skipping(), buffer.bytes()),
+        (false, &b"next"[..])
+    );
+}
--- a/crates/router/src/runtime/shared.rs
+++ b/crates/router/src/runtime/shared.rs
@@ -15,6 +15,8 @@
 pub use crate::runtime::flag::Flag;
 use crate::runtime::pipeline_memory::PipelineMemoryReleased;
 use crate::runtime::shutdown::ShutdownSchedule;
+use async_io::Timer;
+use futures_lite::future::pending;
 use reelrill_pg_session::extended::SharedResources;
 use reelrill_pg_session::limits::SharedBudgets;
 use reelrill_pg_session::request::ClassCatalog;
@@ -162,13 +164,29 @@
             .map(|at| at.saturating_add(self.shutdown_schedule.read_window))
     }
 
+    /// Returns the time until which requests are forwarded, if a graceful shutdown is in progress.
+    fn forward_deadline(&self) -> Option<Timestamp> {
+        self.shutdown_started_at
+            .get()
+            .map(|at| at.saturating_add(self.shutdown_schedule.forward_window))
+    }
+
     /// Returns whether a request that is read now must be rejected because of a graceful shutdown.
     pub fn should_reject_new_requests(&self) -> bool {
-        let last = self
-            .shutdown_started_at
-            .get()
-            .map(|at| at.saturating_add(self.shutdown_schedule.forward_window));
-        last.is_some_and(|last| self.clock.now() > last)
+        self.forward_deadline()
+            .is_some_and(|last| self.clock.now() > last)
+    }
+
+    /// Waits until requests are rejected because of a graceful shutdown. Never returns if they already are.
+    pub async fn rejection_started(&self) {
+        if self.should_reject_new_requests() {
+            pending::<()>().await;
+        }
+        self.shutdown_started.wait().await;
+        while !self.should_reject_new_requests() {
+            let last = self.forward_deadline().unwrap_or_default();
+            Timer::at(self.clock.instant(last + 1)).await;
+        }
     }
 
     /// Returns whether a request that arrives now may be left without a response because of a graceful shutdown.
--- /dev/null
+++ b/crates/router/tests/shutdown.rs
@@ -0,0 +1,69 @@
+//! Tests of a graceful shutdown with queries that a client has written and the router has not read.
+
+mod common;
+
+use common::*;
+use reelrill_test_support::client::query_message;
+use rstest::rstest;
+use serde_json::Value;
+use std::time::{Duration, Instant};
+
+const CLIENTS: u64 = 4;
+/// The length of a value in bytes, the longest that is allowed.
+const VALUE_BYTES: usize = 64 * 1024;
+/// The time from the longest deadline until the process may be killed.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+
+/// Returns a write of a value of 64 KiB, for whose response the client waits `wait_ms` milliseconds.
+fn large_insert(id: u64, wait_ms: u64) -> String {
+    let value = "7f".repeat(VALUE_BYTES);
+    format!(
+        "INSERT INTO facts (code, data) VALUES ('acct-{id}', '\\x{value}') RETURNING data \
+         /* id={id:016x},c=book,d={wait_ms},k={id:016x},cluster=2 */"
+    )
+}
+
+/// Returns the base settings with a deadline of `deadline_ms` milliseconds for all classes.
+fn settings_with_deadline(deadline_ms: u64) -> Value {
+    let mut settings = base_settings();
+    for class in settings["classes"].as_array_mut().into_iter().flatten() {
+        class["hardLimit"] = (deadline_ms * 1_000_000).into();
+        class["onTime"] = (deadline_ms * 500_000).into();
+    }
+    settings
+}
+
+/// Guards against queries that were written before SIGTERM and discarded at the close: while an endpoint hangs, the
+/// first query of each client has no response, so the router leaves most of the client's input unread. All of it must
+/// get its response before the process may be killed, whatever the deadlines are.
+#[rstest]
+#[case::large_writes(12, large_insert)]
+#[case::small_reads(3000, select_query)]
+fn queries_written_before_the_signal_get_responses_while_an_endpoint_hangs(
+    #[case] count: u64,
+    #[case] query: fn(u64, u64) -> String,
+    #[values(300, 4000)] deadline_ms: u64,
+) {
+    let endpoint = FakeEndpoint::start("master", ScriptedResponse::NoResponse);
+    let list = vec![list_entry("s-1", endpoint.address, "ready")];
+    let discovery = FakeDiscovery::start(Some(list.clone()));
+    let settings = settings_with_deadline(deadline_ms);
+    let mut router = start_router_with(&discovery, &list, 1024, settings, None);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| router.connect_client()).collect();
+    for (client, number) in clients.iter_mut().zip(1..) {
+        let ids = number * 10_000..number * 10_000 + count;
+        let messages: Vec<u8> = ids
+            .flat_map(|id| query_message(&query(id, deadline_ms)))
+            .collect();
+        client.send(&messages);
+    }
+    router.signal("TERM");
+    let terminated_at = Instant::now();
+    for client in &mut clients {
+        let responses = std::iter::from_fn(|| client.read_response()).count() as u64;
+        assert_eq!(responses, count);
+    }
+    let kill_after = Duration::from_millis(deadline_ms.min(3000)) + KILL_AFTER_DEADLINE;
+    assert!(terminated_at.elapsed() < kill_after);
+    assert!(router.wait_for_exit().success());
+}
