Answer extended pipelines at shutdown too, without storing what is rejected

Change: late in a graceful shutdown, the first command of a segment gets a rejection and the others up to the Sync are skipped, without being stored; the responses to any number of rejected segments in a row are one item of the pipeline. The progress of rejected messages moves from the simple queries into a module of its own, which both use.

Also new: a test that reads behind one without a response start only while the memory budget has room, for pipelines.

--- a/crates/pg-session/src/extended.rs
+++ b/crates/pg-session/src/extended.rs
@@ -77,6 +77,8 @@
     },
     /// An error. All later commands up to the Sync are skipped.
     Error(SessionError),
+    /// The rejection of a command. All later commands up to the Sync are skipped.
+    Rejection,
     /// The messages so far must be sent to the client now.
     Flush,
     /// The response to a Sync.
@@ -179,6 +181,39 @@
         }
     }
 
+    /// Rejects a command without processing it. The first one of a segment gets a rejection, and the others up to the Sync
+    /// are skipped, as after an error. Any number of segments that are rejected as a whole takes little memory, so that
+    /// they may also be passed while the session is full. Returns whether the command gets a rejection.
+    pub fn reject_command(&mut self) -> bool {
+        if self.segment.is_skipping {
+            return false;
+        }
+        self.segment.is_skipping = true;
+        if self.segment.is_closed {
+            self.segment.is_closed = false;
+            self.segment.is_rejected = true;
+            self.pipeline.push_rejected_segment();
+        } else {
+            self.pipeline.push_response(Output::Rejection);
+        }
+        true
+    }
+
+    /// Handles the Sync of a segment while commands are rejected. Returns `false`, and does nothing, if the session is
+    /// full and the response would take further memory.
+    pub fn reject_until_sync(&mut self) -> bool {
+        if self.segment.is_rejected {
+            self.pipeline.push_rejected_sync();
+            self.segment = Segment::new(self.pipeline.next_number());
+            return true;
+        }
+        if self.segment.is_closed && self.is_full() {
+            return false;
+        }
+        self.sync();
+        true
+    }
+
     /// Ends the segment and closes its portals.
     fn sync(&mut self) {
         self.portals.clear();
--- a/crates/pg-session/src/extended/pipeline.rs
+++ b/crates/pg-session/src/extended/pipeline.rs
@@ -38,6 +38,14 @@
 /// An entry of the queue.
 enum Item<R> {
     Response(Output<R>),
+    /// The responses to rejected segments in a row. They alternate: the rejection of a segment, and the response to its
+    /// Sync.
+    RejectedSegments {
+        /// The number of responses that have been returned.
+        sent: u64,
+        /// The number of all responses.
+        total: u64,
+    },
     Request {
         state: State<R>,
         request: PlannedRequest,
@@ -129,6 +137,31 @@
         self.push(Item::Response(response), bytes);
     }
 
+    /// Appends the rejection of a segment of which no command was processed. Any number of such segments in a row takes
+    /// the memory of one item, so a rejection may also be appended to a full queue.
+    pub(super) fn push_rejected_segment(&mut self) {
+        if let Some(Item::RejectedSegments { total, .. }) = self.last_item_mut()
+            && total.is_multiple_of(2)
+        {
+            *total += 1;
+        } else {
+            self.push(Item::RejectedSegments { sent: 0, total: 1 }, 0);
+        }
+    }
+
+    /// Appends the response to the Sync of a rejected segment.
+    pub(super) fn push_rejected_sync(&mut self) {
+        match self.last_item_mut() {
+            Some(Item::RejectedSegments { total, .. }) => *total += 1,
+            // The rejection has been sent already.
+            _ => self.push_response(Output::ReadyForQuery),
+        }
+    }
+
+    fn last_item_mut(&mut self) -> Option<&mut Item<R>> {
+        self.entries.back_mut().map(|entry| &mut entry.item)
+    }
+
     pub(super) fn push_request(&mut self, request: PlannedRequest) {
         let item = Item::Request {
             state: State::Waiting,
@@ -256,13 +289,22 @@
     /// Removes and returns the first response, if it is available. Its memory stays reserved until
     /// [`on_written`](Self::on_written).
     pub(super) fn pop_ready(&mut self) -> Option<Output<R>> {
-        if self.entries.front()?.item.is_pending() {
+        let first = &mut self.entries.front_mut()?.item;
+        if first.is_pending() {
             return None;
         }
+        if let Item::RejectedSegments { sent, total } = first {
+            let output = rejected_segment_output(*sent);
+            *sent += 1;
+            if sent < total {
+                return Some(output);
+            }
+        }
         let entry = self.entries.pop_front()?;
         self.unwritten.push(entry.memory);
         match entry.item {
             Item::Response(response) => Some(response),
+            Item::RejectedSegments { total, .. } => Some(rejected_segment_output(total - 1)),
             Item::Request {
                 state: State::Completed(response),
                 request,
@@ -287,3 +329,12 @@
         self.running = 0;
     }
 }
+
+/// Returns the output at this position, from 0, among those of rejected segments.
+fn rejected_segment_output<R>(position: u64) -> Output<R> {
+    if position.is_multiple_of(2) {
+        Output::Rejection
+    } else {
+        Output::ReadyForQuery
+    }
+}
--- a/crates/pg-session/src/extended/segment.rs
+++ b/crates/pg-session/src/extended/segment.rs
@@ -14,6 +14,8 @@
     pub is_closed: bool,
     /// Whether commands are skipped up to the Sync, after an error.
     pub is_skipping: bool,
+    /// Whether all commands of the segment were rejected.
+    pub is_rejected: bool,
 }
 
 impl Segment {
@@ -24,6 +26,7 @@
             first_item,
             is_closed: true,
             is_skipping: false,
+            is_rejected: false,
         }
     }
 
--- a/crates/pg-session/tests/extended.rs
+++ b/crates/pg-session/tests/extended.rs
@@ -6,7 +6,9 @@
 use reelrill_pg_protocol::frontend::{Bind, Command, ObjectKind};
 use reelrill_pg_protocol::oid;
 use reelrill_pg_session::SessionError;
-use reelrill_pg_session::extended::{ExtendedSession, Output, SharedResources, StartedRequest};
+use reelrill_pg_session::extended::{
+    ExtendedSession, Output, RESERVED_RESPONSE_BYTES, SharedResources, StartedRequest,
+};
 use reelrill_pg_session::limits::{Limits, SharedBudgets};
 use reelrill_pg_session::request::ClassCatalog;
 use reelrill_pg_session::template::TemplateStore;
@@ -497,3 +499,86 @@
         assert_eq!(shared.budgets.value_bytes.used(), 0);
     }
 }
+
+/// Sends a statement, a portal and an Execute of it, without a Sync, and starts the request.
+fn start_open_segment(session: &mut ExtendedSession<bool>) -> u64 {
+    for op in [Op::Parse("", false), Op::Bind("", ""), Op::Execute("")] {
+        send(session, &op, 1);
+    }
+    session.start_next().unwrap().number
+}
+
+/// Guards against rejections that are released before the response to an earlier request, or that take memory for each
+/// segment: a client may have written any number of segments that are rejected while an earlier request runs. The
+/// commands that were processed before keep their responses, in their own segment.
+#[test]
+fn rejected_segments_wait_for_their_turn_in_the_memory_of_one_item() {
+    let resources = shared_resources(Limits::default());
+    let mut session: ExtendedSession<bool> = ExtendedSession::new(resources.clone());
+    let number = start_open_segment(&mut session);
+    assert!(session.reject_command() && !session.reject_command());
+    assert!(session.reject_until_sync());
+    assert!(session.reject_command() && session.reject_until_sync());
+    let used = resources.budgets.pipeline_bytes.used();
+    for _ in 0..1000 {
+        assert!(session.reject_command() && !session.reject_command());
+        assert!(session.reject_until_sync());
+    }
+    assert_eq!(resources.budgets.pipeline_bytes.used(), used);
+    let rejection = ["Rejection", "ReadyForQuery"];
+    session.finish(number, true, true, 1);
+    let outputs = run_until_idle(&mut session);
+    assert_eq!(outputs[..3], ["ParseComplete", "BindComplete", "served"]);
+    assert_eq!(outputs[3..], rejection.repeat(1002));
+    assert!(session.is_idle() && !session.has_open_segment());
+}
+
+/// Guards against a Sync without a response, or with two, if the rejection of its segment has been sent already.
+#[test]
+fn sync_behind_a_rejection_that_was_sent_gets_its_response() {
+    let mut session: ExtendedSession<bool> =
+        ExtendedSession::new(shared_resources(Limits::default()));
+    for _ in 0..2 {
+        assert!(session.reject_command());
+        assert_eq!(run_until_idle(&mut session), ["Rejection"]);
+        assert!(session.reject_until_sync());
+        assert_eq!(run_until_idle(&mut session), ["ReadyForQuery"]);
+    }
+}
+
+/// Guards against any number of Syncs without a command that take memory while an earlier request runs.
+#[test]
+fn syncs_without_a_command_are_not_accepted_while_the_session_is_full() {
+    let limits = Limits {
+        commands: 8,
+        ..Limits::default()
+    };
+    let mut session: ExtendedSession<bool> = ExtendedSession::new(shared_resources(limits));
+    start_open_segment(&mut session);
+    let accepted = (0..100).filter(|_| session.reject_until_sync()).count();
+    assert!((1..=limits.commands).contains(&accepted), "{accepted}");
+    // Rejections are still accepted, since they take no further memory.
+    assert!(session.reject_command() && session.reject_until_sync());
+}
+
+/// Guards against responses of a pipeline that are kept for any number of bytes: of the reads behind one without a
+/// response, only those may start whose responses fit in the budget that all clients share.
+#[test]
+fn reads_start_only_while_memory_for_their_responses_is_left() {
+    let limits = Limits::default();
+    let resources = shared_resources(limits);
+    let budget = resources.budgets.pipeline_bytes.clone();
+    let most = budget.limit() / RESERVED_RESPONSE_BYTES + 1;
+    assert!(most < limits.reads);
+    let mut session: ExtendedSession<bool> = ExtendedSession::new(resources);
+    send(&mut session, &Op::Parse("", false), 0);
+    for id in 0..limits.reads {
+        send(&mut session, &Op::Bind("", ""), id);
+        send(&mut session, &Op::Execute(""), id);
+    }
+    let started = std::iter::from_fn(|| session.start_next()).count();
+    assert!((2..=most).contains(&started), "{started}");
+    assert!(session.is_waiting_for_memory() && budget.used() <= budget.limit());
+    session.clear();
+    assert_eq!(budget.used(), 0);
+}
--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -8,6 +8,7 @@
 use super::input_backlog::{InputBacklog, ReadEnd};
 use super::message_kind::MessageKind;
 use super::reading::{READ_AHEAD_LIMIT, ShutdownReadLimit, starts_with_complete_message};
+use super::rejection::Rejection;
 use super::simple_queries::SimpleQueries;
 use super::wait_limits::{ShutdownWait, WaitLimits};
 use super::{closing, socket};
@@ -84,6 +85,8 @@
     pub(super) shutdown_read_limit: ShutdownReadLimit,
     /// Whether the client may have written input that has not reached the router's socket yet.
     pub(super) backlog: InputBacklog,
+    /// The progress of messages that are rejected without being stored.
+    pub(super) rejection: Rejection,
 }
 
 /// The event that ends a connection's wait for input.
@@ -110,6 +113,7 @@
             cancellation_process: None,
             shutdown_read_limit: ShutdownReadLimit::default(),
             backlog: InputBacklog::default(),
+            rejection: Rejection::default(),
             shared,
         }
     }
@@ -245,13 +249,13 @@
 
     /// Returns whether no part of the next message has been received.
     fn is_between_messages(&self) -> bool {
-        self.buffer.bytes().is_empty() && !self.simple_queries.is_rejecting()
+        self.buffer.bytes().is_empty() && !self.rejection.is_in_progress()
     }
 
     /// Returns whether the input begins with a message that is complete or can't be parsed. Either requires a
     /// response.
     fn has_complete_message(&self) -> bool {
-        if self.simple_queries.is_rejecting() {
+        if self.rejection.is_in_progress() {
             return !self.buffer.is_skipping();
         }
         starts_with_complete_message(
--- a/crates/router/src/client/extended_queries.rs
+++ b/crates/router/src/client/extended_queries.rs
@@ -6,7 +6,7 @@
 use super::outstanding::OutstandingRequests;
 use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error};
-use super::wakeup::{Wakeup, next_wakeup, wait_for_memory};
+use super::wakeup::{Wakeup, next_wakeup, wait_for_memory, wait_for_rejection};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
@@ -26,6 +26,9 @@
 /// The additional capacity of the channel for the responses to writes.
 const EXTRA_RESPONSES: usize = 16;
 
+/// The length of a Sync message in bytes.
+const SYNC_LENGTH: usize = 1 + 4;
+
 /// The prepared statements and the pipeline of one client.
 pub struct ExtendedQueries {
     session: ExtendedSession<FinalResponse>,
@@ -149,6 +152,10 @@
                 backend::put_error_response(out, false, error.sqlstate(), &error.to_string(), None);
                 return true;
             }
+            Output::Rejection => {
+                put_error(out, &FinalResponse::Rejected { retry_after: None });
+                return true;
+            }
             Output::Flush => return true,
             Output::ReadyForQuery => {
                 backend::put_ready_for_query(out);
@@ -195,6 +202,7 @@
         let mut out = Vec::new();
         let mut is_flush_due = false;
         loop {
+            self.pause_after_rejections().await;
             self.queue_commands();
             // The end of input may follow the commands, and no request must be started for a client that has
             // disconnected.
@@ -219,10 +227,13 @@
                 // Input and responses that arrived during the write are processed before the next wait.
                 continue;
             }
-            if is_idle {
+            if !is_idle {
+                self.wait_on_pipeline().await?;
+            } else if self.rejection.is_in_progress() {
+                self.wait_for_input().await?;
+            } else {
                 return Ok(());
             }
-            self.wait_on_pipeline().await?;
         }
     }
 
@@ -231,12 +242,13 @@
         extended.is_none_or(|extended| extended.session.is_idle())
     }
 
-    /// Waits for a response, a cancellation, memory or more input. Pipelined input stays in the buffer, whose growth is bounded
-    /// by the read-ahead limit.
+    /// Waits for a response, a cancellation, memory, more input, or the time from which a graceful shutdown rejects
+    /// commands. Pipelined input stays in the buffer, whose growth is bounded by the read-ahead limit.
     async fn wait_on_pipeline(&mut self) -> Result<(), CloseReason> {
         let Some(extended) = &mut self.extended_queries else {
             return Ok(());
         };
+        let rejection_started = wait_for_rejection(&self.shared, !self.buffer.bytes().is_empty());
         let read = read_ahead(
             &self.shared,
             &mut self.buffer,
@@ -248,7 +260,8 @@
         let memory_released = wait_for_memory(&self.shared, is_waiting_for_memory);
         let response = extended.outstanding.response();
         let wakeup = next_wakeup(response, &self.cancellation, read);
-        let abandoned = match or(wakeup, memory_released).await? {
+        let capacity_changed = or(memory_released, rejection_started);
+        let abandoned = match or(wakeup, capacity_changed).await? {
             Wakeup::Response(number, response) => extended.finish(number, response),
             Wakeup::CancelRequested => extended.cancel_first(),
             Wakeup::Progress => Vec::new(),
@@ -257,7 +270,12 @@
         Ok(())
     }
 
+    /// Passes the complete commands at the start of the buffer to the session. Late in a graceful shutdown, rejects them
+    /// instead.
     fn queue_commands(&mut self) {
+        if self.shared.should_reject_new_requests() {
+            return self.reject_commands();
+        }
         let Some(extended) = &mut self.extended_queries else {
             return;
         };
@@ -268,6 +286,36 @@
         }
     }
 
+    /// Rejects the commands at the start of the input, until a message follows that must be processed after the pipeline.
+    /// They are not stored, as with simple queries.
+    fn reject_commands(&mut self) {
+        while !self.buffer.is_skipping() {
+            if self.rejection.finish()
+                && let Some(extended) = &mut self.extended_queries
+                && extended.session.reject_command()
+            {
+                self.count_rejection();
+            }
+            let header = frame::parse_frontend_header(self.buffer.bytes(), true);
+            let Ok(Some((tag, length))) = header else {
+                return;
+            };
+            match tag {
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => self.start_rejection(length),
+                b'S' if length == SYNC_LENGTH && self.reject_until_sync() => {
+                    self.buffer.consume(length);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    /// Passes the Sync of rejected commands to the session. Returns whether the session has processed it.
+    fn reject_until_sync(&mut self) -> bool {
+        let extended = self.extended_queries.as_mut();
+        extended.is_some_and(|extended| extended.session.reject_until_sync())
+    }
+
     async fn finish_responses(&mut self) {
         while let Some(extended) = &mut self.extended_queries
             && let Some((number, response)) = extended.outstanding.try_response()
--- a/crates/router/src/client/mod.rs
+++ b/crates/router/src/client/mod.rs
@@ -4,7 +4,9 @@
 //! - `connection_state` records whether a connection has had requests, and `wait_limits` limits its wait for a message.
 //! - `simple_queries` and `extended_queries` execute the client's queries. `outstanding` holds their requests that the
 //!   dispatcher is processing, and `wakeup` the events that the client's task waits for meanwhile.
-//! - `reading` limits how much is read, `input_backlog` tracks whether a client may have written more, `responses` encodes final responses, `closing` closes connections, and `socket`
+//! - `reading` limits how much is read, `input_backlog` tracks whether a client may have written more, and `rejection`
+//!   rejects messages without storing them.
+//! - `responses` encodes final responses, `closing` closes connections, and `socket`
 //!   writes to a client's socket.
 
 mod accept_loop;
@@ -16,6 +18,7 @@
 mod message_kind;
 mod outstanding;
 mod reading;
+mod rejection;
 mod responses;
 mod simple_queries;
 mod socket;
--- a/crates/router/src/client/reading.rs
+++ b/crates/router/src/client/reading.rs
@@ -4,18 +4,14 @@
 use super::socket;
 use crate::runtime::buffer::{Buffer, MemoryLimitReached};
 use crate::runtime::shared::Shared;
-use async_io::{Async, Timer};
-use futures_lite::future::yield_now;
+use async_io::Async;
 use reelrill_pg_protocol::{frame, frontend};
 use std::cell::Cell;
 use std::net::TcpStream;
-use std::time::Duration;
 
 /// The number of bytes that are still read from a connection once a graceful shutdown guarantees no response to new
 /// input any more, in addition to the bytes that are in its socket by then.
 const SHUTDOWN_READ_ALLOWANCE: u64 = 64 * 1024;
-/// The pause between reads of input that needs no response, late in a graceful shutdown.
-const LATE_READ_INTERVAL: Duration = Duration::from_millis(3);
 /// The maximum number of bytes that are read ahead while a response is outstanding. Reading ahead is needed because the
 /// end of a client's input can only be read after everything before it.
 pub const READ_AHEAD_LIMIT: usize = 64 * 1024;
@@ -67,16 +63,6 @@
     }
 }
 
-/// Lets other tasks run after queries have been rejected without waiting for an endpoint. Once new input needs no response
-/// any more, pauses: a client that sends at full speed would take processor time from others.
-pub async fn pause_after_rejections(shared: &Shared) {
-    if shared.can_drop_new_input() {
-        Timer::after(LATE_READ_INTERVAL).await;
-    } else {
-        yield_now().await;
-    }
-}
-
 /// Reads ahead while a response is outstanding. If nothing more may be read, waits until the client disconnects and
 /// then returns 0, as at the end of input: the end itself cannot be read before the unread bytes.
 pub async fn read_ahead(
--- a/crates/router/src/client/simple_queries.rs
+++ b/crates/router/src/client/simple_queries.rs
@@ -4,9 +4,9 @@
 
 use super::connection::ClientConnection;
 use super::outstanding::OutstandingRequests;
-use super::reading::{pause_after_rejections, read_ahead};
+use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error, put_result};
-use super::wakeup::{Wakeup, next_wakeup, wait_for_memory};
+use super::wakeup::{Wakeup, next_wakeup, wait_for_memory, wait_for_rejection};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
@@ -45,10 +45,6 @@
 pub struct SimpleQueries {
     queue: SimpleQueryQueue<FinalResponse, LocalResponse>,
     outstanding: OutstandingRequests,
-    /// Whether the input begins with the rest of a query that is rejected. Its bytes are skipped.
-    is_rejecting: bool,
-    /// Whether queries have been rejected since the last pause.
-    is_pause_due: bool,
 }
 
 impl SimpleQueries {
@@ -59,16 +55,9 @@
         SimpleQueries {
             queue: SimpleQueryQueue::new(limits, memory),
             outstanding: OutstandingRequests::new(limits.running * 2),
-            is_rejecting: false,
-            is_pause_due: false,
         }
     }
 
-    /// Returns whether the input begins with the rest of a query that is rejected.
-    pub fn is_rejecting(&self) -> bool {
-        self.is_rejecting
-    }
-
     fn finish(&mut self, number: u64, response: FinalResponse) {
         // A request that was cancelled is not outstanding any more, and the queue ignores its response.
         let _ = self.outstanding.remove(number);
@@ -95,9 +84,7 @@
     async fn serve_simple_queries(&mut self) -> Result<(), CloseReason> {
         let mut out = Vec::new();
         loop {
-            if std::mem::take(&mut self.simple_queries.is_pause_due) {
-                pause_after_rejections(&self.shared).await;
-            }
+            self.pause_after_rejections().await;
             self.queue_simple_queries();
             // The end of input may follow the queries, and no request must be started for a client that has
             // disconnected.
@@ -121,7 +108,7 @@
             }
             if !self.simple_queries.queue.is_empty() {
                 self.wait_on_simple_queries().await?;
-            } else if self.simple_queries.is_rejecting {
+            } else if self.rejection.is_in_progress() {
                 self.wait_for_input().await?;
             } else {
                 return Ok(());
@@ -141,16 +128,7 @@
         };
         let is_waiting_for_memory = self.simple_queries.queue.is_waiting_for_memory();
         let memory_released = wait_for_memory(&self.shared, is_waiting_for_memory);
-        // Only input that has not been queued is affected.
-        let has_unqueued_input = !self.buffer.bytes().is_empty();
-        let shared = self.shared.clone();
-        let rejection_started = async {
-            if !has_unqueued_input {
-                pending::<()>().await;
-            }
-            shared.rejection_started().await;
-            Ok(Wakeup::Progress)
-        };
+        let rejection_started = wait_for_rejection(&self.shared, !self.buffer.bytes().is_empty());
         let response = self.simple_queries.outstanding.response();
         let read = read_ahead(
             &self.shared,
@@ -172,7 +150,7 @@
     /// Passes the complete queries at the start of the buffer to the queue, until it is full or a message of another
     /// kind follows. Late in a graceful shutdown, rejects them instead.
     fn queue_simple_queries(&mut self) {
-        if self.simple_queries.is_rejecting || self.shared.should_reject_new_requests() {
+        if self.shared.should_reject_new_requests() {
             return self.reject_simple_queries();
         }
         let is_extended = self.extended_queries.is_some();
@@ -198,19 +176,15 @@
     fn reject_simple_queries(&mut self) {
         let is_extended = self.extended_queries.is_some();
         while !self.buffer.is_skipping() {
-            if std::mem::take(&mut self.simple_queries.is_rejecting) {
+            if self.rejection.finish() {
                 self.simple_queries.queue.push_rejection();
-                self.simple_queries.is_pause_due = true;
-                count(&self.shared.counters.requests);
-                count(&self.shared.counters.rejected);
+                self.count_rejection();
             }
             let header = frame::parse_frontend_header(self.buffer.bytes(), is_extended);
             let Ok(Some((b'Q', length))) = header else {
                 return;
             };
-            self.buffer.skip(length);
-            self.simple_queries.is_rejecting = true;
-            self.shared.last_arrival.set(self.shared.clock.now());
+            self.start_rejection(length);
         }
     }
 
--- a/crates/router/src/client/wakeup.rs
+++ b/crates/router/src/client/wakeup.rs
@@ -15,7 +15,8 @@
     Response(u64, FinalResponse),
     /// The client has sent a cancel request, which applies to its first outstanding request.
     CancelRequested,
-    /// More input has been read, memory has been released, or the router has become ready to serve.
+    /// More input has been read, memory has been released, the router has become ready to serve, or new requests are
+    /// rejected from now on.
     Progress,
 }
 
@@ -60,6 +61,19 @@
     Ok(Wakeup::Progress)
 }
 
+/// Waits until new requests are rejected because of a graceful shutdown, if input waits for room in the queue, and forever
+/// otherwise: rejections need no room.
+pub async fn wait_for_rejection(
+    shared: &Shared,
+    has_waiting_input: bool,
+) -> Result<Wakeup, CloseReason> {
+    if !has_waiting_input {
+        return pending().await;
+    }
+    shared.rejection_started().await;
+    Ok(Wakeup::Progress)
+}
+
 impl ClientConnection {
     /// Sends a request to the dispatcher. Returns whether the dispatcher accepted it, which it does not once it has
     /// ended.
