--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -34,7 +34,14 @@
     /// # Errors
     /// Fails if the router does not take the connection.
     pub fn connect(router: SocketAddr) -> io::Result<Client> {
-        let mut stream = TcpStream::connect_timeout(&router, Duration::from_secs(3))?;
+        Client::start(TcpStream::connect_timeout(&router, Duration::from_secs(3))?)
+    }
+
+    /// Completes the startup on a connection.
+    ///
+    /// # Errors
+    /// Fails if the connection fails.
+    pub fn start(mut stream: TcpStream) -> io::Result<Client> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(3)))?;
         stream.write_all(&wire::startup())?;
--- a/review/standins-2/src/router.rs
+++ b/review/standins-2/src/router.rs
@@ -105,6 +105,23 @@
         })
     }
 
+    /// Returns the private memory of the process in KiB, without files; `None` if it has ended.
+    pub fn memory_kib(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, number: i32) {
+        socket::signal(self.child.id(), number);
+    }
+
+    /// Kills the process, as the platform does.
+    pub fn kill(&self) {
+        socket::signal(self.child.id(), socket::SIGKILL);
+    }
+
     /// Returns the lines of the router's log that contain `text`.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = fs::read_to_string(self.folder.join("router.log")).unwrap_or_default();
