--- a/review/standins-2/src/discovery.rs
+++ b/review/standins-2/src/discovery.rs
@@ -3,7 +3,8 @@
 use crate::record::Record;
 use crate::{now_ms, sleep_ms};
 use std::io::{BufRead as _, BufReader, Write as _};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -70,6 +71,16 @@
     name: &'static str,
     /// The Unix times in milliseconds at which whole lists were written.
     whole_lists_at: Arc<Mutex<Vec<u64>>>,
+    outage: Arc<Outage>,
+}
+
+/// Whether the service is down, and its open connections.
+#[derive(Default)]
+struct Outage {
+    is_down: AtomicBool,
+    /// The calls that were reset since the service went down.
+    reset_calls: AtomicU64,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Discovery {
@@ -98,10 +109,26 @@
             record: record.clone(),
             name,
             whole_lists_at: Arc::default(),
+            outage: Arc::default(),
         };
         let service = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if service.outage.is_down.load(Ordering::SeqCst) {
+                    service.outage.reset_calls.fetch_add(1, Ordering::SeqCst);
+                    service
+                        .record
+                        .line(format!("{} is down and resets a call", service.name));
+                    continue;
+                }
+                if let Ok(clone) = stream.try_clone() {
+                    service
+                        .outage
+                        .connections
+                        .lock()
+                        .expect("connections")
+                        .push(clone);
+                }
                 let service = service.clone();
                 std::thread::spawn(move || {
                     let _ = service.serve(&stream);
@@ -126,6 +153,43 @@
         changed.notify_all();
     }
 
+    /// Takes the service down: its watches end, and calls are reset.
+    pub fn go_down(&self) {
+        self.record.line(format!("{} goes down", self.name));
+        self.outage.reset_calls.store(0, Ordering::SeqCst);
+        self.outage.is_down.store(true, Ordering::SeqCst);
+        for stream in self
+            .outage
+            .connections
+            .lock()
+            .expect("connections")
+            .drain(..)
+        {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Brings the service back.
+    pub fn come_back(&self) {
+        self.outage.is_down.store(false, Ordering::SeqCst);
+        self.record.line(format!("{} is back", self.name));
+    }
+
+    /// Waits for up to 9 s until a call has been reset and no other one has followed it for 400 ms.
+    pub fn wait_for_quiet(&self) {
+        let calls = || self.outage.reset_calls.load(Ordering::SeqCst);
+        let (mut last, mut since, first) = (calls(), None, calls());
+        for _ in 0..9000 {
+            sleep_ms(1);
+            if calls() != last {
+                (last, since) = (calls(), Some(now_ms()));
+            }
+            if last > first && since.is_some_and(|since| now_ms() - since >= 400) {
+                return;
+            }
+        }
+    }
+
     /// Takes an entry away; the watches get the whole list, which does not name it any more.
     pub fn drop_from_whole_list(&self, uid: &str) {
         let (list, changed) = &*self.list;
