Stop half-written statements when an endpoint's removal is older than the grace

Change: a removal counts as the start of a drain, unless one had started. The check before each write then stops the statement as for a draining endpoint.

--- a/crates/router/src/dispatcher/endpoint_list.rs
+++ b/crates/router/src/dispatcher/endpoint_list.rs
@@ -11,7 +11,7 @@
     pub(super) fn on_endpoint_list(&mut self, kind: ListKind, listed: Vec<ListedEndpoint>) {
         let now = self.shared.clock.now();
         if matches!(kind, ListKind::Full | ListKind::Cached) {
-            self.remove_unlisted_pools(&listed);
+            self.remove_unlisted_pools(now, &listed);
         }
         for endpoint in &listed {
             self.update_pool(now, endpoint);
@@ -35,20 +35,23 @@
             .allows_unlisted_endpoints
     }
 
-    fn remove_unlisted_pools(&mut self, listed: &[ListedEndpoint]) {
+    fn remove_unlisted_pools(&mut self, now: Timestamp, listed: &[ListedEndpoint]) {
         if !self.should_apply_removals() {
             return;
         }
         let names: BTreeSet<&EndpointId> = listed.iter().map(|l| &l.entry.endpoint).collect();
-        self.pools.retain(|endpoint, _| names.contains(endpoint));
+        let unlisted = self.pools.extract_if(|name, _| !names.contains(name));
+        unlisted.for_each(|(_, pool)| pool.remove(now));
     }
 
     fn update_pool(&mut self, now: Timestamp, listed: &ListedEndpoint) {
         let ListedEndpoint { entry, address } = listed;
         self.platform_clock.on_start_time(now, entry.started);
         if entry.state == EndpointState::Removed {
-            if self.should_apply_removals() {
-                self.pools.remove(&entry.endpoint);
+            if self.should_apply_removals()
+                && let Some(pool) = self.pools.remove(&entry.endpoint)
+            {
+                pool.remove(now);
             }
             return;
         }
--- a/crates/router/src/upstream/endpoint_status.rs
+++ b/crates/router/src/upstream/endpoint_status.rs
@@ -37,6 +37,12 @@
         self.address.replace(address) != address
     }
 
+    /// Records that the endpoint was removed from the list. That counts as the start of a drain, if it was not draining.
+    pub fn on_removed(&self, now: Timestamp) {
+        let draining_since = self.draining_since.get().unwrap_or(now);
+        self.draining_since.set(Some(draining_since));
+    }
+
     /// Returns whether the endpoint has been draining for so long that no request may be written to it any more.
     pub fn has_drain_grace_expired(&self, shared: &Shared) -> bool {
         let cutoff = shared.config.routing.settings.rules.drain_cutoff();
--- a/crates/router/src/upstream/pool_handle.rs
+++ b/crates/router/src/upstream/pool_handle.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Ends the pool of an endpoint that was removed from the list. Requests that are being written to the endpoint are
+    /// completed only within the drain grace.
+    pub fn remove(self, now: Timestamp) {
+        self.status.on_removed(now);
+    }
+
     /// Sends a command to the pool, and starts a pool if none is running.
     ///
     /// # Errors
--- a/crates/router/tests/upstream.rs
+++ b/crates/router/tests/upstream.rs
@@ -199,6 +199,20 @@
     }
 }
 
+/// Waits until the router has read the list that was published after the first one, which its next poll shows.
+fn wait_for_next_poll(discovery: &FakeDiscovery) {
+    let polled_again = |paths: &mut Vec<String>| {
+        let mut paths = paths.iter();
+        paths.any(|path| path.contains("since=2")).then_some(())
+    };
+    assert!(
+        discovery
+            .requested_paths
+            .wait_for(WAIT_TIMEOUT, polled_again)
+            .is_some()
+    );
+}
+
 /// Guards against a request that reaches an endpoint after its drain grace, because the router was delayed by up to
 /// 0.15 s after it had read its clock. A connection that is established in the last 0.15 s of the grace must carry no
 /// request, nor must any connection if the grace itself is shorter.
@@ -224,19 +238,7 @@
     client.send(&query_message(&select_query(1, 8000)));
     let mut endpoint = ManualEndpoint::accept(&listener);
     discovery.publish(vec![list_entry("s-1", address, "draining")]);
-    // The next poll shows that the list has been read.
-    let polled_again = |paths: &mut Vec<String>| {
-        paths
-            .iter()
-            .any(|path| path.contains("since=2"))
-            .then_some(())
-    };
-    assert!(
-        discovery
-            .requested_paths
-            .wait_for(WAIT_TIMEOUT, polled_again)
-            .is_some()
-    );
+    wait_for_next_poll(&discovery);
     std::thread::sleep(Duration::from_millis(startup_delay_ms));
     endpoint.complete_startup();
     assert_eq!(
@@ -272,14 +274,13 @@
     value.expect(counters).parse().expect(counters)
 }
 
-/// Returns whether a connection has received a complete Query message once its peer has closed it.
-fn has_complete_query(mut stream: &TcpStream) -> bool {
-    let mut bytes = Vec::new();
+/// Returns whether a connection has received a complete Query message once its peer has closed it. `bytes` are those read
+/// so far.
+fn has_complete_query(mut stream: &TcpStream, mut bytes: Vec<u8>) -> bool {
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
     // A reset ends the input, too.
     let _ = stream.read_to_end(&mut bytes);
-    let is_incomplete = matches!(frame::parse(&bytes, 1 << 20), Ok(None));
-    !is_incomplete
+    frame::parse(&bytes, 1 << 20).unwrap().is_some()
 }
 
 /// Guards against a statement that the router completes at its deadline although it counts the attempt as never executed
@@ -314,10 +315,39 @@
     assert!(never_executed > 0, "{counters}");
     let possibly_executed = counter(&counters, "attempts") - never_executed;
     let endpoints: Vec<ManualEndpoint> = endpoints.try_iter().collect();
-    let complete = endpoints.iter().filter(|e| has_complete_query(&e.stream));
+    let complete = endpoints
+        .iter()
+        .filter(|e| has_complete_query(&e.stream, Vec::new()));
     assert_eq!(complete.count(), possibly_executed, "{counters}");
 }
 
+/// Guards against a statement that is completed at an endpoint after its drain grace: it is half written when the endpoint
+/// begins to drain or is removed from the list, and the endpoint reads on only later.
+#[rstest]
+#[case("s-1", "draining")]
+#[case("s-2", "ready")]
+fn half_written_statement_is_not_completed_after_the_drain_grace(
+    #[case] listed: &str,
+    #[case] state: &str,
+) {
+    let listener = listener_with_small_buffers();
+    let address = listener.local_addr().unwrap();
+    let list = vec![list_entry("s-1", address, "ready")];
+    let discovery = FakeDiscovery::start(Some(list.clone()));
+    let router = start_router(&discovery, &list, 1024);
+    let mut client = router.connect_client();
+    let query = large_select_query(1, 130_000).replace("d=700", "d=8000");
+    client.send(&query_message(&query));
+    let mut endpoint = ManualEndpoint::accept(&listener);
+    endpoint.complete_startup();
+    let start = endpoint.read_within(WAIT_TIMEOUT);
+    assert!(!start.is_empty());
+    discovery.publish(vec![list_entry(listed, address, state)]);
+    wait_for_next_poll(&discovery);
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(!has_complete_query(&endpoint.stream, start));
+}
+
 /// Sets the soft limit of open descriptors of a process.
 fn limit_descriptors(pid: u32, limit: usize) {
     let status = Command::new("prlimit")
