Evict a client in the middle of a request only when no descriptor is left

What callers saw: a request of 148 bytes written in 0.4 s was cut off without an answer, twice, because one more client connected.

Cause: a connection on which a part of a message had arrived had the priority Expendable, the first to be evicted, 100 ms after the part (wait_limits), and an eviction is requested at each accept once more than half of the clients' descriptors are in use. Dozens of connections between requests stayed open.

Change: the state of a connection says what it is owed. With a part of a request received it has the priority Unfinished: evicted only when no descriptor is left, after all others, the one that has paused longest first, and not if input has arrived meanwhile. A part of the startup counts, and so do the messages of a pipeline that is neither synced nor flushed, which until now were closed at once at shutdown and never timed out. An unfinished simple query that the router must cut off gets a rejection, which is true, since nothing of it was executed. Connections with no part of a request are still evicted first, from half on.

--- a/crates/pg-session/src/extended.rs
+++ b/crates/pg-session/src/extended.rs
@@ -141,6 +141,12 @@
         !self.segment.is_closed
     }
 
+    /// Returns whether the client is in the middle of a request: it has sent commands since the last Sync, and the last of
+    /// them was not a Flush.
+    pub fn has_unfinished_request(&self) -> bool {
+        self.has_open_segment() && !self.segment.is_flushed
+    }
+
     /// Returns whether no further command may be passed now: too many are queued, no memory is left, or a change of the
     /// last segment could still be rolled back.
     pub fn is_full(&self) -> bool {
@@ -167,6 +173,7 @@
             return;
         }
         self.segment.is_closed = false;
+        self.segment.is_flushed = matches!(command, Command::Flush);
         if self.segment.is_skipping {
             return;
         }
--- a/crates/pg-session/src/extended/segment.rs
+++ b/crates/pg-session/src/extended/segment.rs
@@ -12,6 +12,8 @@
     pub first_item: u64,
     /// Whether no command has been received since the last Sync.
     pub is_closed: bool,
+    /// Whether the last command was a Flush: the client may wait for the responses so far before it sends more.
+    pub is_flushed: bool,
     /// Whether commands are skipped up to the Sync, after an error.
     pub is_skipping: bool,
     /// Whether all commands of the segment were rejected.
@@ -25,6 +27,7 @@
             commands: 0,
             first_item,
             is_closed: true,
+            is_flushed: false,
             is_skipping: false,
             is_rejected: false,
         }
--- a/crates/router/src/client/accept_loop.rs
+++ b/crates/router/src/client/accept_loop.rs
@@ -40,16 +40,14 @@
 }
 
 /// Waits for a descriptor permit. While there is none, requests the eviction of an expendable connection, otherwise of
-/// the one idle longest, otherwise of one with session state. If no connection can be evicted, a permit is released
-/// only when a connection ends by itself.
+/// the one idle longest, otherwise of one with session state, otherwise of one in the middle of a request. If no
+/// connection can be evicted, a permit is released only when a connection ends by itself.
 async fn acquire_permit(shared: &Rc<Shared>) -> DescriptorPermit {
     loop {
         if let Some(permit) = shared.client_descriptors.try_acquire() {
             return permit;
         }
-        shared
-            .client_descriptors
-            .request_eviction_including_stateful();
+        shared.client_descriptors.request_any_eviction();
         let pause = async {
             Timer::after(PERMIT_RETRY_INTERVAL).await;
         };
--- a/crates/router/src/client/closing.rs
+++ b/crates/router/src/client/closing.rs
@@ -4,7 +4,10 @@
 //! client might not receive the error.
 
 use super::connection::ClientConnection;
+use super::extended_queries::ExtendedQueries;
+use super::responses::put_error;
 use super::wait_limits::EXPENDABLE_EVICTION_DELAY;
+use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
 use crate::runtime::shared::EvictionPriority;
@@ -71,6 +74,25 @@
         }
     }
 
+    /// Rejects a simple query of which a part has been received, before the router closes the connection for a reason of
+    /// its own. The parts of a pipeline get no such rejection, since earlier requests of it may have been executed.
+    pub(super) async fn reject_unfinished_query(&mut self) {
+        let is_simple_query =
+            self.rejection.is_simple_query() || self.buffer.bytes().first() == Some(&b'Q');
+        let is_in_pipeline = self
+            .extended_queries
+            .as_ref()
+            .is_some_and(ExtendedQueries::has_unfinished_request);
+        if !self.state.is_startup_complete() || !is_simple_query || is_in_pipeline {
+            return;
+        }
+        self.count_rejection();
+        let mut out = Vec::new();
+        put_error(&mut out, &FinalResponse::Rejected { retry_after: None });
+        // If the write fails, the client has disconnected.
+        let _ = self.write(&out).await;
+    }
+
     /// Shuts down the router's sending side and discards further input until the client closes its side, `max_duration`
     /// has passed or the connection is evicted. Closing with bytes unread would reset the connection, and the client
     /// might not receive the error. Nothing is stored, and other tasks run after each read. Returns the number of bytes
--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -10,7 +10,7 @@
 use super::reading::{READ_AHEAD_LIMIT, ShutdownReadLimit, starts_with_complete_message};
 use super::rejection::Rejection;
 use super::simple_queries::SimpleQueries;
-use super::wait_limits::{ShutdownWait, WaitLimits};
+use super::wait_limits::{MESSAGE_TIMEOUT, ShutdownWait, WaitLimits};
 use super::{closing, socket};
 use crate::extensions::ExtendedQueryMode;
 use crate::messages::{CancellationFlag, ClientRequest};
@@ -104,7 +104,7 @@
             stream,
             buffer: Buffer::new(&shared.buffer_memory),
             accepted_at: shared.clock.now(),
-            state: ConnectionState::AwaitingStartup { unused },
+            state: ConnectionState::new(unused),
             has_input_ended: false,
             simple_queries: SimpleQueries::new(&shared),
             is_skipping_to_sync: false,
@@ -121,7 +121,8 @@
     /// Serves the connection to its end. Returns `Ok` if the client sent Terminate, otherwise the close reason.
     async fn run(&mut self) -> Result<(), CloseReason> {
         self.startup().await?;
-        self.state.on_startup_complete();
+        let budget = &self.shared.client_descriptors;
+        self.state.on_startup_complete(|| budget.count_unused());
         loop {
             if self.rejection.is_in_progress() && !self.buffer.is_skipping() {
                 self.finish_rejection().await?;
@@ -266,6 +267,13 @@
         self.buffer.bytes().is_empty() && !self.rejection.is_in_progress()
     }
 
+    /// Returns whether a part of a request has been received: of its message, or of its messages. The client is then owed a
+    /// response to it, as long as it goes on.
+    fn has_unfinished_request(&self) -> bool {
+        let extended = self.extended_queries.as_ref();
+        !self.is_between_messages() || extended.is_some_and(ExtendedQueries::has_unfinished_request)
+    }
+
     /// Returns whether the input begins with a message that is complete or can't be parsed. Either requires a
     /// response.
     fn has_complete_message(&self) -> bool {
@@ -293,42 +301,52 @@
         self.has_input_ended
     }
 
-    /// Returns the limits of the wait for the next message or the rest of it. A message that stalls or arrives very
-    /// slowly must not hold a descriptor indefinitely, nor must a connection without any messages.
-    fn wait_limits(&mut self, is_between_messages: bool) -> WaitLimits {
+    /// Returns the limits of the wait for the next request or the rest of it. A request that stalls or arrives very
+    /// slowly must not hold a descriptor indefinitely, nor must a connection without any request.
+    fn wait_limits(&mut self, is_unfinished: bool) -> WaitLimits {
         let now = self.shared.clock.now();
-        let shutdown = match (is_between_messages, self.state.is_unused()) {
-            (false, _) => ShutdownWait::RestOfMessage,
-            (true, true) => ShutdownWait::FirstRequest {
+        let shutdown = self.shutdown_wait(now, is_unfinished);
+        let is_unused = self.state.is_unused();
+        if is_unfinished {
+            let since = self.state.on_unfinished(now);
+            let (started_at, reason) = match is_unused {
+                true => (self.accepted_at, CloseReason::StartupTimeout),
+                false => (since, CloseReason::Stalled),
+            };
+            return WaitLimits {
+                eviction_priority: EvictionPriority::Unfinished,
+                evictable_since: now,
+                timeout: Some((started_at.saturating_add(MESSAGE_TIMEOUT), reason)),
+                shutdown,
+            };
+        }
+        if is_unused {
+            let timeout_at = self.accepted_at.saturating_add(MESSAGE_TIMEOUT);
+            return WaitLimits {
+                eviction_priority: EvictionPriority::Expendable,
+                evictable_since: self.accepted_at,
+                timeout: Some((timeout_at, CloseReason::StartupTimeout)),
+                shutdown,
+            };
+        }
+        WaitLimits {
+            eviction_priority: self.idle_eviction_priority(),
+            evictable_since: now,
+            timeout: None,
+            shutdown,
+        }
+    }
+
+    fn shutdown_wait(&self, now: Timestamp, is_unfinished: bool) -> ShutdownWait {
+        match (is_unfinished, self.state.is_unused()) {
+            (true, _) => ShutdownWait::RestOfMessage,
+            (false, true) => ShutdownWait::FirstRequest {
                 accepted_at: self.accepted_at,
             },
-            (true, false) if self.backlog.may_exist_at(now) => ShutdownWait::InputPause {
+            (false, false) if self.backlog.may_exist_at(now) => ShutdownWait::InputPause {
                 paused_at: self.backlog.paused_at(),
             },
-            (true, false) => ShutdownWait::CloseAtOnce,
-        };
-        let (eviction_priority, started_at, timeout_reason) = if self.state.is_unused() {
-            let timeout_reason = Some(CloseReason::StartupTimeout);
-            (
-                EvictionPriority::Expendable,
-                self.accepted_at,
-                timeout_reason,
-            )
-        } else if is_between_messages {
-            (self.idle_eviction_priority(), now, None)
-        } else {
-            let started_at = self.state.on_partial_message(now);
-            (
-                EvictionPriority::Expendable,
-                started_at,
-                Some(CloseReason::Stalled),
-            )
-        };
-        WaitLimits {
-            eviction_priority,
-            started_at,
-            timeout_reason,
-            shutdown,
+            (false, false) => ShutdownWait::CloseAtOnce,
         }
     }
 
@@ -349,10 +367,11 @@
         }
         // No response is guaranteed to input that arrives now, such as the rest of a partial message.
         if self.has_reached_read_limit() {
+            self.reject_unfinished_query().await;
             return Err(CloseReason::Shutdown);
         }
-        let is_between_messages = self.is_between_messages();
-        let limits = self.wait_limits(is_between_messages);
+        let is_unfinished = self.has_unfinished_request();
+        let limits = self.wait_limits(is_unfinished);
         let is_idle = limits.eviction_priority == EvictionPriority::Idle;
         let _idle = is_idle.then(|| self.shared.client_descriptors.count_idle());
         let close_due = async { WaitOutcome::CloseDue(limits.close_due(&self.shared).await) };
@@ -363,22 +382,28 @@
             }
             WaitOutcome::Read(read) => self.end_of_input(&read).map_or(Ok(()), Err),
             WaitOutcome::CloseDue(reason) => {
-                self.close_unless_input_arrived(reason, is_between_messages)
+                let closing = self.close_unless_input_arrived(reason, is_unfinished);
+                if let Err(CloseReason::Evicted | CloseReason::Shutdown) = closing {
+                    self.reject_unfinished_query().await;
+                }
+                closing
             }
         }
     }
 
-    /// Returns the close reason as an error, unless input has arrived that must be served first. There is no await
-    /// between the check of the input and the decision, so no input that has arrived by now is lost.
+    /// Returns the close reason as an error, unless input has arrived that must be served first: a complete message, the
+    /// start of a request, or, if the connection was to be evicted because its client had paused, any input. There is no
+    /// await between the check of the input and the decision, so no input that has arrived by now is lost.
     fn close_unless_input_arrived(
         &mut self,
         reason: CloseReason,
-        is_between_messages: bool,
+        is_unfinished: bool,
     ) -> Result<(), CloseReason> {
-        let before = self.buffer.bytes().len();
+        let before = self.buffer.bytes_read();
         self.read_available()?;
-        let has_begun = is_between_messages && self.buffer.bytes().len() > before;
-        if has_begun || self.has_complete_message() {
+        let has_input = self.buffer.bytes_read() > before;
+        let is_owed_a_wait = !is_unfinished || reason == CloseReason::Evicted;
+        if (has_input && is_owed_a_wait) || self.has_complete_message() {
             count(&self.shared.counters.late_request_served);
             return Ok(());
         }
--- a/crates/router/src/client/extended_queries.rs
+++ b/crates/router/src/client/extended_queries.rs
@@ -53,6 +53,11 @@
         self.session.statement_count() > 0 || self.session.has_open_segment()
     }
 
+    /// Returns whether the client is in the middle of a request, between two of its messages.
+    pub fn has_unfinished_request(&self) -> bool {
+        self.session.has_unfinished_request()
+    }
+
     /// Handles the receipt of a simple query: it removes the unnamed statement and all portals.
     pub fn on_simple_query(&mut self) {
         self.session.on_simple_query();
--- a/crates/router/src/client/wait_limits.rs
+++ b/crates/router/src/client/wait_limits.rs
@@ -11,11 +11,13 @@
 use std::time::Duration;
 
 /// The maximum time from the accept of a connection to the end of its first request, and from the first byte of any
-/// other message to its last.
-const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// other request to its last, in nanoseconds.
+pub const MESSAGE_TIMEOUT: Nanos = 2_000_000_000;
 /// The time before an expendable connection may be evicted: a client usually sends its first request right after the
 /// startup.
 pub const EXPENDABLE_EVICTION_DELAY: Duration = Duration::from_millis(100);
+/// The pause in the middle of a request before its connection may be evicted.
+const UNFINISHED_EVICTION_DELAY: Duration = Duration::from_millis(100);
 /// The time before an idle connection may be evicted: its next request may be in transit.
 const IDLE_EVICTION_DELAY: Duration = Duration::from_millis(20);
 /// The maximum time for a new connection to send its first request during a graceful shutdown, in nanoseconds.
@@ -67,10 +69,11 @@
 pub struct WaitLimits {
     /// The connection's eviction priority in the descriptor budget.
     pub eviction_priority: EvictionPriority,
-    /// The start of the wait.
-    pub started_at: Timestamp,
-    /// The reason to close the connection if no complete message arrives in time; `None` if there is no timeout.
-    pub timeout_reason: Option<CloseReason>,
+    /// The time from which the wait before an eviction counts.
+    pub evictable_since: Timestamp,
+    /// The time at which the connection is closed if no complete message has arrived, and the reason; `None` if there is
+    /// no timeout.
+    pub timeout: Option<(Timestamp, CloseReason)>,
     /// The time for which the connection stays open during a graceful shutdown.
     pub shutdown: ShutdownWait,
 }
@@ -86,10 +89,10 @@
     }
 
     async fn timed_out(&self, shared: &Shared) -> CloseReason {
-        let Some(reason) = self.timeout_reason else {
+        let Some((at, reason)) = self.timeout else {
             return std::future::pending().await;
         };
-        Timer::at(shared.clock.instant(self.started_at) + MESSAGE_TIMEOUT).await;
+        Timer::at(shared.clock.instant(at)).await;
         reason
     }
 
@@ -107,8 +110,9 @@
         let delay = match self.eviction_priority {
             EvictionPriority::Expendable => EXPENDABLE_EVICTION_DELAY,
             EvictionPriority::Idle | EvictionPriority::Stateful => IDLE_EVICTION_DELAY,
+            EvictionPriority::Unfinished => UNFINISHED_EVICTION_DELAY,
         };
-        Timer::at(shared.clock.instant(self.started_at) + delay).await;
+        Timer::at(shared.clock.instant(self.evictable_since) + delay).await;
         shared
             .client_descriptors
             .eviction_requested(self.eviction_priority)
--- a/crates/router/src/runtime/descriptor_budget.rs
+++ b/crates/router/src/runtime/descriptor_budget.rs
@@ -22,7 +22,8 @@
     expendable: Event,
     idle: Event,
     stateful: Event,
-    /// The number of connections that have not had a request yet, whether or not they can be evicted.
+    unfinished: Event,
+    /// The number of connections that have not had any part of a request yet, whether or not they can be evicted.
     unused: Cell<usize>,
     /// The number of connections between requests without session state, including those idle for too short a time to
     /// be evicted.
@@ -62,13 +63,16 @@
 /// The priority with which a connection is evicted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EvictionPriority {
-    /// A connection that has not had a request, has stalled, or is being closed. It is evicted first.
+    /// A connection that has not had any part of a request, or is being closed. It is evicted first.
     Expendable,
     /// A connection between requests, without session state.
     Idle,
     /// A connection between requests with prepared statements, which its client would have to prepare again. It is
-    /// evicted last.
+    /// evicted only when no permit is left.
     Stateful,
+    /// A connection in the middle of a request, whose client has paused. It is owed a response, so it is evicted only
+    /// when no permit is left and there is no other connection. The one that has paused longest is evicted first.
+    Unfinished,
 }
 
 impl DescriptorBudget {
@@ -81,6 +85,7 @@
             expendable: Event::new(),
             idle: Event::new(),
             stateful: Event::new(),
+            unfinished: Event::new(),
             unused: Cell::new(0),
             idle_connections: Cell::new(0),
         })
@@ -110,7 +115,7 @@
         self.released.total_listeners() > 0
     }
 
-    /// Counts a connection that has not had a request yet.
+    /// Counts a connection that has not had any part of a request yet.
     pub fn count_unused(self: &Rc<Self>) -> CountGuard {
         CountGuard::new(self, |budget| &budget.unused)
     }
@@ -132,10 +137,10 @@
     }
 
     /// Does the same as [`request_eviction`](Self::request_eviction) and, if no other connection is available, requests
-    /// the eviction of one with session state. For use when no permit is left.
-    pub fn request_eviction_including_stateful(&self) {
-        if !self.request_eviction() {
-            self.stateful.notify(1.additional());
+    /// the eviction of one with session state or else of one in the middle of a request. For use when no permit is left.
+    pub fn request_any_eviction(&self) {
+        if !self.request_eviction() && self.stateful.notify(1.additional()) == 0 {
+            self.unfinished.notify(1.additional());
         }
     }
 
@@ -145,6 +150,7 @@
             EvictionPriority::Expendable => self.expendable.listen().await,
             EvictionPriority::Idle => self.idle.listen().await,
             EvictionPriority::Stateful => self.stateful.listen().await,
+            EvictionPriority::Unfinished => self.unfinished.listen().await,
         }
     }
 
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -342,10 +342,7 @@
     fn connect_for_waiting(&mut self) {
         while self.connecting < self.waiting.len() {
             let Some(permit) = self.shared.upstream_descriptors.try_acquire() else {
-                return self
-                    .shared
-                    .upstream_descriptors
-                    .request_eviction_including_stateful();
+                return self.shared.upstream_descriptors.request_any_eviction();
             };
             self.connecting += 1;
             let endpoint = self.endpoint.clone();
