Move a client connection's wait for input into a module of its own

A move: no change of behaviour. The two tests of statement_writer with the same body are one with two cases, and it fails within 5 s where it would have waited for ever: shown with the check of the attempt's end taken out (case is_attempt_ended fails).

--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -10,7 +10,6 @@
 use super::reading::{READ_AHEAD_LIMIT, ShutdownReadLimit, starts_with_complete_message};
 use super::rejection::Rejection;
 use super::simple_queries::SimpleQueries;
-use super::wait_limits::{FIRST_REQUEST_TIMEOUT, REQUEST_TIMEOUT, ShutdownWait, WaitLimits};
 use super::{closing, socket};
 use crate::extensions::ExtendedQueryMode;
 use crate::messages::{CancellationFlag, ClientRequest};
@@ -18,10 +17,9 @@
 use crate::observability::counters::count;
 use crate::runtime::buffer::{Buffer, MemoryLimitReached};
 use crate::runtime::shared::{
-    CancellationKey, CancellationSignal, CountGuard, DescriptorPermit, EvictionPriority, Shared,
+    CancellationKey, CancellationSignal, CountGuard, DescriptorPermit, Shared,
 };
 use async_io::Async;
-use futures_lite::future::or;
 use reelrill_pg_protocol::frame;
 use reelrill_pg_protocol::frontend::{self, Startup};
 use reelrill_pg_protocol::{backend, sqlstate};
@@ -67,10 +65,10 @@
     pub(super) shared: Rc<Shared>,
     pub(super) stream: Async<TcpStream>,
     pub(super) buffer: Buffer,
-    accepted_at: Timestamp,
+    pub(super) accepted_at: Timestamp,
     pub(super) state: ConnectionState,
     /// Whether the client has closed its sending side, so that no more input will arrive.
-    has_input_ended: bool,
+    pub(super) has_input_ended: bool,
     /// The client's simple queries that have no response yet.
     pub(super) simple_queries: SimpleQueries,
     /// Whether unsupported commands are skipped up to the next Sync.
@@ -89,14 +87,6 @@
     pub(super) rejection: Rejection,
 }
 
-/// The event that ends a connection's wait for input.
-enum WaitOutcome {
-    /// Closing the connection is due, for this reason.
-    CloseDue(CloseReason),
-    /// A read has ended with this result.
-    Read(std::io::Result<usize>),
-}
-
 impl ClientConnection {
     fn new(shared: Rc<Shared>, stream: Async<TcpStream>, unused: CountGuard) -> ClientConnection {
         let is_extended = shared.config.extensions.extended.mode != ExtendedQueryMode::Off;
@@ -214,7 +204,7 @@
     }
 
     /// Returns the close reason if a read with this result ends the connection.
-    fn end_of_input(&self, read: &std::io::Result<usize>) -> Option<CloseReason> {
+    pub(super) fn end_of_input(&self, read: &std::io::Result<usize>) -> Option<CloseReason> {
         match read {
             Ok(0) if self.is_between_messages() => Some(CloseReason::Eof),
             Ok(0) => Some(CloseReason::Truncated),
@@ -253,7 +243,7 @@
     }
 
     /// Returns whether nothing more may be read because of a graceful shutdown.
-    fn has_reached_read_limit(&self) -> bool {
+    pub(super) fn has_reached_read_limit(&self) -> bool {
         self.shutdown_read_limit.is_reached(
             &self.shared,
             &self.buffer,
@@ -263,20 +253,13 @@
     }
 
     /// Returns whether no part of the next message has been received.
-    fn is_between_messages(&self) -> bool {
+    pub(super) fn is_between_messages(&self) -> bool {
         self.buffer.bytes().is_empty() && !self.rejection.is_in_progress()
     }
 
-    /// Returns whether a part of a request has been received: of its message, or of its messages. The client is then owed a
-    /// response to it, as long as it goes on.
-    fn has_unfinished_request(&self) -> bool {
-        let extended = self.extended_queries.as_ref();
-        !self.is_between_messages() || extended.is_some_and(ExtendedQueries::has_unfinished_request)
-    }
-
     /// Returns whether the input begins with a message that is complete or can't be parsed. Either requires a
     /// response.
-    fn has_complete_message(&self) -> bool {
+    pub(super) fn has_complete_message(&self) -> bool {
         if self.rejection.is_in_progress() {
             return !self.buffer.is_skipping();
         }
@@ -301,118 +284,6 @@
         self.has_input_ended
     }
 
-    /// Returns the limits of the wait for the next request or the rest of it. A request that stalls or arrives very
-    /// slowly must not hold a descriptor indefinitely, nor must a connection without any request.
-    fn wait_limits(&mut self, is_unfinished: bool) -> WaitLimits {
-        let now = self.shared.clock.now();
-        let shutdown = self.shutdown_wait(now, is_unfinished);
-        let is_unused = self.state.is_unused();
-        if is_unfinished {
-            let since = self.state.on_unfinished(now);
-            let (started_at, reason) = match is_unused {
-                true => (self.accepted_at, CloseReason::StartupTimeout),
-                false => (since, CloseReason::Stalled),
-            };
-            return WaitLimits {
-                eviction_priority: EvictionPriority::Unfinished,
-                evictable_since: now,
-                timeout: Some((started_at.saturating_add(REQUEST_TIMEOUT), reason)),
-                shutdown,
-            };
-        }
-        if is_unused {
-            let timeout_at = self.accepted_at.saturating_add(FIRST_REQUEST_TIMEOUT);
-            return WaitLimits {
-                eviction_priority: EvictionPriority::Expendable,
-                evictable_since: self.accepted_at,
-                timeout: Some((timeout_at, CloseReason::StartupTimeout)),
-                shutdown,
-            };
-        }
-        WaitLimits {
-            eviction_priority: self.idle_eviction_priority(),
-            evictable_since: now,
-            timeout: None,
-            shutdown,
-        }
-    }
-
-    fn shutdown_wait(&self, now: Timestamp, is_unfinished: bool) -> ShutdownWait {
-        match (is_unfinished, self.state.is_unused()) {
-            (true, _) => ShutdownWait::RestOfMessage,
-            (false, true) => ShutdownWait::FirstRequest {
-                accepted_at: self.accepted_at,
-            },
-            (false, false) if self.backlog.may_exist_at(now) => ShutdownWait::InputPause {
-                paused_at: self.backlog.paused_at(),
-            },
-            (false, false) => ShutdownWait::CloseAtOnce,
-        }
-    }
-
-    fn idle_eviction_priority(&self) -> EvictionPriority {
-        let extended = self.extended_queries.as_ref();
-        if extended.is_some_and(ExtendedQueries::has_state) {
-            EvictionPriority::Stateful
-        } else {
-            EvictionPriority::Idle
-        }
-    }
-
-    /// Waits for more input. The router may close the connection meanwhile, but only after it has checked the input
-    /// received so far, because a request that was read must get a response.
-    pub(super) async fn wait_for_input(&mut self) -> Result<(), CloseReason> {
-        if self.has_input_ended {
-            return self.end_of_input(&Ok(0)).map_or(Ok(()), Err);
-        }
-        // No response is guaranteed to input that arrives now, such as the rest of a partial message.
-        if self.has_reached_read_limit() {
-            self.reject_unfinished_query().await;
-            return Err(CloseReason::Shutdown);
-        }
-        let is_unfinished = self.has_unfinished_request();
-        let limits = self.wait_limits(is_unfinished);
-        let is_idle = limits.eviction_priority == EvictionPriority::Idle;
-        let _idle = is_idle.then(|| self.shared.client_descriptors.count_idle());
-        let close_due = async { WaitOutcome::CloseDue(limits.close_due(&self.shared).await) };
-        let read = async { WaitOutcome::Read(self.buffer.fill(&self.stream).await) };
-        match or(read, close_due).await {
-            WaitOutcome::Read(Err(e)) if MemoryLimitReached::caused(&e) => {
-                self.reject_for_memory_limit().await
-            }
-            WaitOutcome::Read(read) => self.end_of_input(&read).map_or(Ok(()), Err),
-            WaitOutcome::CloseDue(reason) => {
-                let closing = self.close_unless_input_arrived(reason, is_unfinished);
-                if let Err(CloseReason::Evicted | CloseReason::Shutdown) = closing {
-                    self.reject_unfinished_query().await;
-                }
-                closing
-            }
-        }
-    }
-
-    /// Returns the close reason as an error, unless input has arrived that must be served first: a complete message, the
-    /// start of a request, or, if the connection was to be evicted because its client had paused, any input. There is no
-    /// await between the check of the input and the decision, so no input that has arrived by now is lost.
-    fn close_unless_input_arrived(
-        &mut self,
-        reason: CloseReason,
-        is_unfinished: bool,
-    ) -> Result<(), CloseReason> {
-        let before = self.buffer.bytes_read();
-        self.read_available()?;
-        let has_input = self.buffer.bytes_read() > before;
-        let is_owed_a_wait = !is_unfinished || reason == CloseReason::Evicted;
-        if (has_input && is_owed_a_wait) || self.has_complete_message() {
-            count(&self.shared.counters.late_request_served);
-            return Ok(());
-        }
-        if reason == CloseReason::Evicted {
-            count(&self.shared.counters.connections_evicted);
-        }
-        Err(reason)
-    }
-
     /// Converts a request that was read at `received_at` to the form that the dispatcher receives.
     pub(super) fn client_request(
         &self,
--- a/crates/router/src/client/mod.rs
+++ b/crates/router/src/client/mod.rs
@@ -1,7 +1,8 @@
 //! Serves clients: the accept loop, and one task for each connection.
 //!
 //! - `connection` processes the messages of one client in order; `message_kind` classifies each message.
-//! - `connection_state` records whether a connection has had requests, and `wait_limits` limits its wait for a message.
+//! - `input_wait` waits for a client's next request or the rest of one: `connection_state` records whether the connection has
+//!   had requests, and `wait_limits` limits the wait.
 //! - `simple_queries` and `extended_queries` execute the client's queries. `outstanding` holds their requests that the
 //!   dispatcher is processing, and `wakeup` the events that the client's task waits for meanwhile.
 //! - `reading` limits how much is read, `input_backlog` tracks whether a client may have written more, and `rejection`
@@ -15,6 +16,7 @@
 mod connection_state;
 mod extended_queries;
 mod input_backlog;
+mod input_wait;
 mod message_kind;
 mod outstanding;
 mod reading;
--- a/crates/router/src/upstream/statement_writer/tests.rs
+++ b/crates/router/src/upstream/statement_writer/tests.rs
@@ -2,8 +2,9 @@
 
 use super::{WriteConditions, WriteError, write_statement};
 use crate::write_permit::{AttemptControl, Execution};
-use async_io::Async;
-use futures_lite::future::{block_on, poll_once};
+use async_io::{Async, Timer};
+use futures_lite::future::{block_on, or, poll_once};
+use rstest::rstest;
 use std::cell::Cell;
 use std::io::{ErrorKind, Read as _};
 use std::net::{TcpListener, TcpStream};
@@ -15,6 +16,9 @@
 /// The time without input after which everything that was written has arrived.
 const ARRIVAL_PAUSE: Duration = Duration::from_millis(200);
 
+/// The time within which a write must end once its permission has ended.
+const END_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Returns the router's side and the endpoint's side of a connection.
 fn connection() -> (Async<TcpStream>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -38,15 +42,19 @@
     }
 }
 
-/// Guards against a statement that is completed after its attempt was ended as never executed: the deadline, a
-/// cancellation or the end of the deduplication window comes while the connection's task is about to write again.
-#[test]
-fn nothing_is_written_after_the_attempt_has_ended_although_the_socket_has_room() {
+/// Guards against a statement that is completed after its attempt was ended as never executed, or after its client has
+/// left or its drain grace or deduplication window has ended: either comes while the connection's task is about to write
+/// again.
+#[rstest]
+fn nothing_is_written_after_the_permission_ends_although_the_socket_has_room(
+    #[values(true, false)] is_attempt_ended: bool,
+) {
     let (router, mut endpoint) = connection();
     let (control, permit) = AttemptControl::new();
+    let is_time_left = Cell::new(true);
     let conditions = WriteConditions {
         permit: &permit,
-        time_left: &|| Some(1),
+        time_left: &|| is_time_left.get().then_some(1),
     };
     let statement = vec![b'x'; STATEMENT_LENGTH];
     let mut write = pin!(write_statement(
@@ -59,37 +67,20 @@
     let written_before = read_all_arrived(&mut endpoint);
     assert!((1..STATEMENT_LENGTH).contains(&written_before));
 
-    assert_eq!(control.end(), Execution::Never);
-    let ended = block_on(&mut write);
-    assert!(matches!(ended, Err(WriteError::NotPermitted)), "{ended:?}");
-    assert_eq!(read_all_arrived(&mut endpoint), 0);
-    assert_eq!(control.end(), Execution::Never);
-}
-
-/// Guards against a statement that is completed after its client has left, its drain grace has expired or its
-/// deduplication window has closed, before the dispatcher has ended the attempt.
-#[test]
-fn nothing_is_written_once_no_time_is_left_although_the_socket_has_room() {
-    let (router, mut endpoint) = connection();
-    let (control, permit) = AttemptControl::new();
-    let is_allowed = Cell::new(true);
-    let conditions = WriteConditions {
-        permit: &permit,
-        time_left: &|| is_allowed.get().then_some(1),
+    if is_attempt_ended {
+        assert_eq!(control.end(), Execution::Never);
+    } else {
+        is_time_left.set(false);
+    }
+    let timeout = async {
+        Timer::after(END_TIMEOUT).await;
+        None
     };
-    let statement = vec![b'x'; STATEMENT_LENGTH];
-    let mut write = pin!(write_statement(
-        &router,
-        &statement,
-        statement.len(),
-        &conditions
-    ));
-    assert!(block_on(poll_once(&mut write)).is_none());
-    assert!(read_all_arrived(&mut endpoint) < STATEMENT_LENGTH);
-
-    is_allowed.set(false);
-    let ended = block_on(&mut write);
-    assert!(matches!(ended, Err(WriteError::NotPermitted)), "{ended:?}");
+    let ended = block_on(or(async { Some(write.await) }, timeout));
+    assert!(
+        matches!(ended, Some(Err(WriteError::NotPermitted))),
+        "{ended:?}"
+    );
     assert_eq!(read_all_arrived(&mut endpoint), 0);
     assert_eq!(control.end(), Execution::Never);
 }
