Run the shutdown tests that measure time one after another

Six cases run at once, and three routers write 12,000 responses each in the same 0.2 s before the limit, in debug builds.

Reading all clients at the same time instead did not help and was undone.

The check, the bound and the load of each case are as before; only other cases no longer take processor time from it.

--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -6,6 +6,7 @@
 use reelrill_test_support::client::{bind_and_execute, parse_message, query_message, sync_message};
 use rstest::rstest;
 use serde_json::Value;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 const CLIENTS: u64 = 4;
@@ -14,6 +15,10 @@
 /// The time from the longest deadline until the process may be killed.
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 
+/// Held by each test that compares the router's time with a limit: the others would take processor time from it, all at the
+/// same moment after their signals.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 /// Returns the messages of a write of 64 KiB, for whose response the client waits `wait_ms` milliseconds.
 fn large_write(id: u64, wait_ms: u64) -> Vec<u8> {
     let value = "7f".repeat(VALUE_BYTES);
@@ -61,6 +66,7 @@
     #[case] extensions: Option<&str>,
     #[values(300, 4000)] deadline_ms: u64,
 ) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let endpoint = FakeEndpoint::start("master", ScriptedResponse::NoResponse);
     let list = vec![list_entry("s-1", endpoint.address, "ready")];
     let discovery = FakeDiscovery::start(Some(list.clone()));
