Measure the turns of all tasks, and log those that keep the others from running

Change: every task runs in run_metered, which measures each turn. Turns of 20 ms or more count in slow_turns, and at most one a second is logged with the part of the router. The last line of a client connection has processing_us.

--- a/crates/router/src/client/accept_loop.rs
+++ b/crates/router/src/client/accept_loop.rs
@@ -67,8 +67,9 @@
     // The connection counts as unused from here on, not from the first run of its task. In a burst, many more
     // connections are accepted before that run, and connections in use would be evicted in favour of unused ones.
     let unused = shared.client_descriptors.count_unused();
-    let task = serve(shared.clone(), stream, permit, unused);
-    executor.spawn(task).detach();
+    executor
+        .spawn(serve(shared.clone(), stream, permit, unused))
+        .detach();
     if shared.client_descriptors.is_running_low() {
         // Frees a descriptor in advance, so that the next connection does not wait in the backlog for an eviction.
         shared.client_descriptors.request_eviction();
--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -19,6 +19,7 @@
 use crate::runtime::shared::{
     CancellationKey, CancellationSignal, CountGuard, DescriptorPermit, Shared,
 };
+use crate::runtime::turn::{TaskKind, TaskMeter, run_metered};
 use async_io::Async;
 use reelrill_pg_protocol::frame;
 use reelrill_pg_protocol::frontend::{self, Startup};
@@ -30,6 +31,7 @@
 use std::io::ErrorKind;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Serves one connection to its end and logs the close reason.
 pub async fn serve(
@@ -38,8 +40,13 @@
     _permit: DescriptorPermit,
     unused: CountGuard,
 ) {
-    let _ = stream.get_ref().set_nodelay(true);
-    let mut client = ClientConnection::new(shared, stream, unused);
+    let meter = Rc::new(TaskMeter::default());
+    let client = ClientConnection::new(shared.clone(), stream, unused, meter.clone());
+    run_metered(&shared, TaskKind::Client, &meter, serve_to_end(client)).await;
+}
+
+async fn serve_to_end(mut client: ClientConnection) {
+    let _ = client.stream.get_ref().set_nodelay(true);
     let ended = client.run().await;
     let reason = ended.err().unwrap_or(CloseReason::Terminate);
     let mut discarded_bytes = 0;
@@ -56,8 +63,9 @@
     if let Some(process) = client.cancellation_process {
         client.shared.cancellations.remove(process);
     }
+    let processing_time = Duration::from_nanos(client.meter.used(&client.shared.turns));
     info!(client.shared.log, "connection ended"; "with" => "client", "reason" => reason.code(),
-          "discarded_bytes" => discarded_bytes);
+          "discarded_bytes" => discarded_bytes, "processing_us" => processing_time.as_micros());
 }
 
 /// Owns one client's connection, its buffer and its queries.
@@ -65,6 +73,8 @@
     pub(super) shared: Rc<Shared>,
     pub(super) stream: Async<TcpStream>,
     pub(super) buffer: Buffer,
+    /// Measures the processor time that the connection's task has used.
+    pub(super) meter: Rc<TaskMeter>,
     pub(super) accepted_at: Timestamp,
     pub(super) state: ConnectionState,
     /// Whether the client has closed its sending side, so that no more input will arrive.
@@ -88,12 +98,18 @@
 }
 
 impl ClientConnection {
-    fn new(shared: Rc<Shared>, stream: Async<TcpStream>, unused: CountGuard) -> ClientConnection {
+    fn new(
+        shared: Rc<Shared>,
+        stream: Async<TcpStream>,
+        unused: CountGuard,
+        meter: Rc<TaskMeter>,
+    ) -> ClientConnection {
         let is_extended = shared.config.extensions.extended.mode != ExtendedQueryMode::Off;
         ClientConnection {
             stream,
             buffer: Buffer::new(&shared.buffer_memory),
             accepted_at: shared.clock.now(),
+            meter,
             state: ConnectionState::new(unused),
             has_input_ended: false,
             simple_queries: SimpleQueries::new(&shared),
--- a/crates/router/src/discovery/admin_socket/mod.rs
+++ b/crates/router/src/discovery/admin_socket/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::runtime::accept;
 use crate::runtime::shared::Shared;
+use crate::runtime::turn::{self, TaskKind};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -46,7 +47,8 @@
     if let Some(path) = &shared.config.extensions.members_socket {
         let listener = bind(path)?;
         let log = shared.log.clone();
-        executor.spawn(serve(listener, queries, log)).detach();
+        let serve = serve(listener, queries, log);
+        turn::spawn(shared, executor, TaskKind::Discovery, serve);
     }
     Ok(received)
 }
--- a/crates/router/src/discovery/registry/services.rs
+++ b/crates/router/src/discovery/registry/services.rs
@@ -4,6 +4,7 @@
 use super::{EndpointRegistryTask, RegistryError, dns_query};
 use crate::extensions::{DiscoverySettings, DnsSdSettings};
 use crate::observability::counters::count;
+use crate::runtime::turn::{self, TaskKind};
 use async_channel::Sender;
 use futures_lite::future::or;
 use hickory_proto::rr::Name;
@@ -210,6 +211,6 @@
             let _ = cancelled.recv().await;
         };
         let task = or(dns_query::run(source, query, events), cancellation);
-        self.executor.spawn(task).detach();
+        turn::spawn(&self.shared, &self.executor, TaskKind::Discovery, task);
     }
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -23,6 +23,7 @@
 use clap::Parser as _;
 use futures_lite::future::or;
 use runtime::shared::Shared;
+use runtime::turn::{self, TaskKind};
 use slog::{Logger, error, info};
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
@@ -144,26 +145,17 @@
     let bound_address = listener.get_ref().local_addr().unwrap_or(address);
     info!(log, "listening on client address"; "address" => %bound_address,
           "instances" => shared.config.known_list.1.len());
-    executor.spawn(dispatcher.run(mailbox)).detach();
+    let run_dispatcher = dispatcher.run(mailbox);
+    turn::spawn(&shared, &executor, TaskKind::Dispatcher, run_dispatcher);
     if let Some(registry) = registry {
-        executor.spawn(registry.run()).detach();
+        turn::spawn(&shared, &executor, TaskKind::Discovery, registry.run());
     }
     if shared.config.extensions.discovery.roster {
-        executor
-            .spawn(discovery::list_watch::run(
-                shared.clone(),
-                list_requests,
-                discovery_addresses,
-            ))
-            .detach();
+        let watch = discovery::list_watch::run(shared.clone(), list_requests, discovery_addresses);
+        turn::spawn(&shared, &executor, TaskKind::Discovery, watch);
     }
-    executor
-        .spawn(client::accept_connections(
-            shared.clone(),
-            executor.clone(),
-            listener,
-        ))
-        .detach();
+    let accept = client::accept_connections(shared.clone(), executor.clone(), listener);
+    turn::spawn(&shared, &executor, TaskKind::Accept, accept);
     let handle_signals = signals::handle(&shared, signals, discovery_address_sender);
     async_io::block_on(executor.run(or(handle_signals, drain::until_drained(&shared))));
     info!(log, "counters"; "all" => %shared.counters);
--- a/crates/router/src/observability/counters.rs
+++ b/crates/router/src/observability/counters.rs
@@ -107,6 +107,8 @@
     attempts_unwritten_client_left,
     /// Requests whose client had disconnected or cancelled before the dispatcher admitted them.
     client_left_before_admission,
+    /// Turns of a task that kept all others from running for 20 ms or more.
+    slow_turns,
     /// Parse messages for prepared statements sent to endpoints.
     statements_prepared,
     /// Prepared statements that an endpoint no longer held, and that were prepared again.
--- a/crates/router/src/runtime/mod.rs
+++ b/crates/router/src/runtime/mod.rs
@@ -1,5 +1,5 @@
 //! Provides the infrastructure that all tasks of the router's one thread share: buffers, clocks, the descriptor budget,
-//! the memory of pipelines, the cancellation registry and the schedule of a graceful shutdown.
+//! the memory of pipelines, the turns of tasks, the cancellation registry and the schedule of a graceful shutdown.
 
 pub mod accept;
 pub mod buffer;
@@ -12,3 +12,4 @@
 pub mod platform_clock;
 pub mod shared;
 pub mod shutdown;
+pub mod turn;
--- a/crates/router/src/runtime/shared.rs
+++ b/crates/router/src/runtime/shared.rs
@@ -15,6 +15,7 @@
 pub use crate::runtime::flag::Flag;
 use crate::runtime::pipeline_memory::PipelineMemoryReleased;
 use crate::runtime::shutdown::ShutdownSchedule;
+use crate::runtime::turn::TurnClock;
 use async_io::Timer;
 use futures_lite::future::pending;
 use reelrill_pg_session::extended::SharedResources;
@@ -32,6 +33,8 @@
     pub config: Config,
     /// The router's clock.
     pub clock: Clock,
+    /// Measures the turn of the running task.
+    pub turns: TurnClock,
     /// The root logger.
     pub log: Logger,
     /// The router's counters.
@@ -128,6 +131,7 @@
             shutdown_started_at: Cell::new(None),
             shutdown_schedule,
             last_arrival: Cell::new(clock.now()),
+            turns: TurnClock::new(clock),
             clock,
             dispatcher,
             registry,
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -13,6 +13,7 @@
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
 use crate::runtime::shared::{EvictionPriority, Shared};
+use crate::runtime::turn::{self, TaskKind};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -354,10 +355,14 @@
                 // If the pool has ended, the connection is closed.
                 let _ = pool.send(PoolEvent::ConnectEnded(result)).await;
             };
-            self.executor.spawn(task).detach();
+            self.spawn(task);
         }
     }
 
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        turn::spawn(&self.shared, &self.executor, TaskKind::Upstream, task);
+    }
+
     /// Starts a job on a connection.
     fn start(&self, connection: UpstreamConnection, job: Job) {
         let shared = self.shared.clone();
@@ -365,12 +370,11 @@
         match job {
             Job::Attempt(attempt) => {
                 let status = self.status.clone();
-                let task = run_attempt(shared, status, pool, connection, attempt);
-                self.executor.spawn(task).detach();
+                self.spawn(run_attempt(shared, status, pool, connection, attempt));
             }
             Job::HealthCheck => {
-                let task = run_health_check(shared, pool, connection, self.endpoint.clone());
-                self.executor.spawn(task).detach();
+                let endpoint = self.endpoint.clone();
+                self.spawn(run_health_check(shared, pool, connection, endpoint));
             }
         }
     }
--- a/crates/router/src/upstream/pool_handle.rs
+++ b/crates/router/src/upstream/pool_handle.rs
@@ -5,6 +5,7 @@
 use crate::messages::Attempt;
 use crate::observability::counters::count;
 use crate::runtime::shared::Shared;
+use crate::runtime::turn::{self, TaskKind};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use reelrill_routing::{EndpointId, Timestamp};
@@ -97,7 +98,7 @@
             self.status.clone(),
             Rc::downgrade(&self.commands),
         );
-        executor.spawn(pool.run(commands)).detach();
+        turn::spawn(shared, executor, TaskKind::Upstream, pool.run(commands));
         sender
     }
 }
