End each client's turn, and pause clients that use too much of the thread

Cause: the loops of a client's task (startup, run, serve_simple_queries, serve_pipeline) wait only where a read or a write would block. While input is always available and responses are always read, they never do, so the router's one thread runs this one task. Class: unbounded work in one turn of a cooperative task, and no fair share between tasks.

Change: every such loop calls end_turn: after 1 ms the others run, and a client whose messages the router answers by itself (or rejects) is charged with the processor time they took. The search for Terminate in the input looks at each message once; it was quadratic.

--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -10,6 +10,8 @@
 use super::reading::{READ_AHEAD_LIMIT, ShutdownReadLimit, starts_with_complete_message};
 use super::rejection::Rejection;
 use super::simple_queries::SimpleQueries;
+use super::terminate_scan::TerminateScan;
+use super::turn_end::ProcessorUse;
 use super::{closing, socket};
 use crate::extensions::ExtendedQueryMode;
 use crate::messages::{CancellationFlag, ClientRequest};
@@ -75,6 +77,7 @@
     pub(super) buffer: Buffer,
     /// Measures the processor time that the connection's task has used.
     pub(super) meter: Rc<TaskMeter>,
+    pub(super) processor_use: ProcessorUse,
     pub(super) accepted_at: Timestamp,
     pub(super) state: ConnectionState,
     /// Whether the client has closed its sending side, so that no more input will arrive.
@@ -93,6 +96,7 @@
     pub(super) shutdown_read_limit: ShutdownReadLimit,
     /// Whether the client may have written input that has not reached the router's socket yet.
     pub(super) backlog: InputBacklog,
+    terminate_scan: TerminateScan,
     /// The progress of messages that are rejected without being stored.
     pub(super) rejection: Rejection,
 }
@@ -110,6 +114,7 @@
             buffer: Buffer::new(&shared.buffer_memory),
             accepted_at: shared.clock.now(),
             meter,
+            processor_use: ProcessorUse::default(),
             state: ConnectionState::new(unused),
             has_input_ended: false,
             simple_queries: SimpleQueries::new(&shared),
@@ -119,6 +124,7 @@
             cancellation_process: None,
             shutdown_read_limit: ShutdownReadLimit::default(),
             backlog: InputBacklog::default(),
+            terminate_scan: TerminateScan::default(),
             rejection: Rejection::default(),
             shared,
         }
@@ -130,6 +136,7 @@
         let budget = &self.shared.client_descriptors;
         self.state.on_startup_complete(|| budget.count_unused());
         loop {
+            self.end_turn().await;
             if self.rejection.is_in_progress() && !self.buffer.is_skipping() {
                 self.finish_rejection().await?;
                 continue;
@@ -176,6 +183,7 @@
 
     async fn startup(&mut self) -> Result<(), CloseReason> {
         loop {
+            self.end_turn().await;
             let (kind, len) = match frontend::parse_startup(self.buffer.bytes()) {
                 Ok(Some(message)) => message,
                 Ok(None) => {
@@ -186,7 +194,10 @@
             };
             self.buffer.consume(len);
             match kind {
-                Startup::EncryptionRequest => self.write(b"N").await?,
+                Startup::EncryptionRequest => {
+                    self.write(b"N").await?;
+                    self.on_local_message();
+                }
                 Startup::CancelRequest { process, secret } => {
                     self.on_cancel_request(CancellationKey { process, secret });
                     return Err(CloseReason::CancelRequest);
@@ -287,17 +298,9 @@
     }
 
     /// Returns whether the client has disconnected: it has closed the connection, or the buffer contains a Terminate.
-    pub(super) fn has_disconnected(&self) -> bool {
-        let mut rest = self.buffer.bytes();
-        while let Ok(Some((tag, _, len))) =
-            frame::parse_frontend(rest, self.extended_queries.is_some())
-        {
-            if tag == b'X' {
-                return true;
-            }
-            rest = &rest[len..];
-        }
-        self.has_input_ended
+    pub(super) fn has_disconnected(&mut self) -> bool {
+        let is_extended = self.extended_queries.is_some();
+        self.has_input_ended || self.terminate_scan.is_in(&self.buffer, is_extended)
     }
 
     /// Converts a request that was read at `received_at` to the form that the dispatcher receives.
@@ -326,6 +329,7 @@
     /// the next Sync.
     async fn on_unsupported(&mut self, tag: u8, len: usize) -> Result<(), CloseReason> {
         self.buffer.consume(len);
+        self.on_local_message();
         if std::mem::replace(&mut self.is_skipping_to_sync, true) {
             return Ok(());
         }
@@ -351,7 +355,9 @@
         self.is_skipping_to_sync = false;
         let mut out = Vec::new();
         backend::put_ready_for_query(&mut out);
-        self.write(&out).await
+        self.write(&out).await?;
+        self.on_local_message();
+        Ok(())
     }
 
     /// Writes all of `bytes` to the client.
--- a/crates/router/src/client/extended_queries.rs
+++ b/crates/router/src/client/extended_queries.rs
@@ -6,6 +6,7 @@
 use super::outstanding::OutstandingRequests;
 use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error};
+use super::turn_end::ProcessorUse;
 use super::wakeup::{Wakeup, next_wakeup, wait_for_memory, wait_for_rejection};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
@@ -91,10 +92,16 @@
 
     /// Processes the response to the request with this number. Returns the ids of requests whose responses are not
     /// needed any more.
-    fn finish(&mut self, number: u64, response: FinalResponse) -> Vec<RequestId> {
+    fn finish(
+        &mut self,
+        number: u64,
+        response: FinalResponse,
+        processor_use: &mut ProcessorUse,
+    ) -> Vec<RequestId> {
         let Some(request) = self.outstanding.remove(number) else {
             return Vec::new();
         };
+        processor_use.on_response(&response, request.processing_time);
         let response = self.convert_response(response, request.result_format);
         let is_served = matches!(response, FinalResponse::Served(_));
         let bytes = response.memory_bytes();
@@ -104,7 +111,7 @@
 
     /// Cancels the first request without a response, as the client requested. Returns the ids of requests whose
     /// responses are not needed any more.
-    fn cancel_first(&mut self) -> Vec<RequestId> {
+    fn cancel_first(&mut self, processor_use: &mut ProcessorUse) -> Vec<RequestId> {
         let Some((number, _)) = self.session.first_pending() else {
             return Vec::new();
         };
@@ -115,7 +122,7 @@
             return Vec::new();
         };
         let mut abandoned = vec![request];
-        abandoned.extend(self.finish(number, FinalResponse::Cancelled));
+        abandoned.extend(self.finish(number, FinalResponse::Cancelled, processor_use));
         abandoned
     }
 
@@ -207,6 +214,7 @@
         let mut out = Vec::new();
         let mut is_flush_due = false;
         loop {
+            self.end_turn().await;
             self.pause_after_rejections().await;
             self.queue_commands();
             // The end of input may follow the commands, and no request must be started for a client that has
@@ -218,6 +226,7 @@
             self.queue_commands();
             self.finish_responses().await;
             self.start_pipelined_requests().await;
+            self.assign_local_commands();
             self.shared.pipeline_memory_released.wake_next();
             // Consecutive messages are sent in one write, such as a BindComplete with the response that follows it.
             is_flush_due |= self.put_outputs(&mut out);
@@ -266,8 +275,10 @@
         let wakeup = next_wakeup(response, &self.cancellation, read);
         let capacity_changed = or(memory_released, rejection_started);
         let abandoned = match or(wakeup, capacity_changed).await? {
-            Wakeup::Response(number, response) => extended.finish(number, response),
-            Wakeup::CancelRequested => extended.cancel_first(),
+            Wakeup::Response(number, response) => {
+                extended.finish(number, response, &mut self.processor_use)
+            }
+            Wakeup::CancelRequested => extended.cancel_first(&mut self.processor_use),
             Wakeup::Progress => Vec::new(),
         };
         self.notify_cancelled(abandoned).await;
@@ -317,6 +328,14 @@
         }
     }
 
+    /// Assigns the processor time of commands that have led to no request.
+    fn assign_local_commands(&mut self) {
+        let extended = self.extended_queries.as_ref();
+        if extended.is_some_and(|extended| extended.outstanding.is_empty()) {
+            self.on_local_message();
+        }
+    }
+
     fn reject_command(&mut self) {
         let extended = self.extended_queries.as_mut();
         if extended.is_some_and(|extended| extended.session.reject_command()) {
@@ -334,7 +353,7 @@
         while let Some(extended) = &mut self.extended_queries
             && let Some((number, response)) = extended.outstanding.try_response()
         {
-            let abandoned = extended.finish(number, response);
+            let abandoned = extended.finish(number, response, &mut self.processor_use);
             self.notify_cancelled(abandoned).await;
         }
     }
@@ -347,17 +366,19 @@
         {
             let now = self.shared.clock.now();
             let request = self.client_request(&start.request, start.query, now);
+            let processing_time = self.on_request_started();
             let Some(extended) = &mut self.extended_queries else {
                 return;
             };
             let outstanding = &mut extended.outstanding;
-            let response_target = outstanding.insert(start.number, &request, start.result_format);
+            let response_target =
+                outstanding.insert(start.number, &request, start.result_format, processing_time);
             if self.dispatch(request, response_target).await {
                 continue;
             }
             if let Some(extended) = &mut self.extended_queries {
                 let response = FinalResponse::Failed("the router is ending");
-                let abandoned = extended.finish(start.number, response);
+                let abandoned = extended.finish(start.number, response, &mut self.processor_use);
                 self.notify_cancelled(abandoned).await;
             }
         }
--- a/crates/router/src/client/mod.rs
+++ b/crates/router/src/client/mod.rs
@@ -5,8 +5,9 @@
 //!   had requests, and `wait_limits` limits the wait.
 //! - `simple_queries` and `extended_queries` execute the client's queries. `outstanding` holds their requests that the
 //!   dispatcher is processing, and `wakeup` the events that the client's task waits for meanwhile.
-//! - `reading` limits how much is read, `input_backlog` tracks whether a client may have written more, and `rejection`
+//! - `reading` limits how much is read, `terminate_scan` finds the end of the session in it, `input_backlog` tracks whether a client may have written more, and `rejection`
 //!   rejects messages without storing them.
+//! - `turn_end` lets other tasks run, and pauses clients that use too much processor time.
 //! - `responses` encodes final responses, `closing` closes connections, and `socket`
 //!   writes to a client's socket.
 
@@ -24,6 +25,8 @@
 mod responses;
 mod simple_queries;
 mod socket;
+mod terminate_scan;
+mod turn_end;
 mod wait_limits;
 mod wakeup;
 
--- a/crates/router/src/client/outstanding.rs
+++ b/crates/router/src/client/outstanding.rs
@@ -6,7 +6,7 @@
 use crate::messages::{CancellationFlag, ClientRequest, FinalResponse, ResponseTarget};
 use async_channel::{Receiver, Sender};
 use reelrill_pg_protocol::Format;
-use reelrill_routing::RequestId;
+use reelrill_routing::{Nanos, RequestId};
 
 /// A request that has been sent to the dispatcher and has no final response yet.
 pub struct OutstandingRequest {
@@ -17,6 +17,8 @@
     cancelled: CancellationFlag,
     /// The value's format that the client requested.
     pub result_format: Format,
+    /// The processor time that the request has taken, in nanoseconds.
+    pub processing_time: Nanos,
 }
 
 /// All outstanding requests of one client and one kind of query.
@@ -44,12 +46,14 @@
         number: u64,
         request: &ClientRequest,
         result_format: Format,
+        processing_time: Nanos,
     ) -> ResponseTarget {
         self.requests.push(OutstandingRequest {
             number,
             id: request.id,
             cancelled: request.cancelled.clone(),
             result_format,
+            processing_time,
         });
         ResponseTarget {
             number,
@@ -57,6 +61,11 @@
         }
     }
 
+    /// Returns whether no request is outstanding.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
     /// Removes and returns the request whose response was received, if it is still outstanding.
     pub fn remove(&mut self, number: u64) -> Option<OutstandingRequest> {
         let index = self.requests.iter().position(|r| r.number == number)?;
--- a/crates/router/src/client/rejection.rs
+++ b/crates/router/src/client/rejection.rs
@@ -8,7 +8,6 @@
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
 use async_io::Timer;
-use futures_lite::future::yield_now;
 use reelrill_pg_protocol::frame;
 use std::time::Duration;
 
@@ -70,21 +69,17 @@
     }
 
     /// Counts a request that is rejected without being passed to the dispatcher.
-    pub(super) fn count_rejection(&self) {
+    pub(super) fn count_rejection(&mut self) {
+        self.on_local_message();
         count(&self.shared.counters.requests);
         count(&self.shared.counters.rejected);
     }
 
-    /// Lets other tasks run after messages have been rejected, which needs no wait for an endpoint. Once new input needs
-    /// no response any more, pauses: a client that sends at full speed would take processor time from others.
+    /// Pauses after messages have been rejected, once new input needs no response any more.
     pub(super) async fn pause_after_rejections(&mut self) {
-        if !std::mem::take(&mut self.rejection.is_pause_due) {
-            return;
-        }
-        if self.shared.can_drop_new_input() {
+        let is_pause_due = std::mem::take(&mut self.rejection.is_pause_due);
+        if is_pause_due && self.shared.can_drop_new_input() {
             Timer::after(LATE_READ_INTERVAL).await;
-        } else {
-            yield_now().await;
         }
     }
 }
--- a/crates/router/src/client/simple_queries.rs
+++ b/crates/router/src/client/simple_queries.rs
@@ -6,6 +6,7 @@
 use super::outstanding::OutstandingRequests;
 use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error, put_result};
+use super::turn_end::ProcessorUse;
 use super::wakeup::{Wakeup, next_wakeup, wait_for_memory, wait_for_rejection};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
@@ -58,9 +59,11 @@
         }
     }
 
-    fn finish(&mut self, number: u64, response: FinalResponse) {
+    fn finish(&mut self, number: u64, response: FinalResponse, processor_use: &mut ProcessorUse) {
         // A request that was cancelled is not outstanding any more, and the queue ignores its response.
-        let _ = self.outstanding.remove(number);
+        if let Some(request) = self.outstanding.remove(number) {
+            processor_use.on_response(&response, request.processing_time);
+        }
         let bytes = response.memory_bytes();
         self.queue.finish(number, response, bytes);
     }
@@ -84,6 +87,7 @@
     async fn serve_simple_queries(&mut self) -> Result<(), CloseReason> {
         let mut out = Vec::new();
         loop {
+            self.end_turn().await;
             self.pause_after_rejections().await;
             self.queue_simple_queries();
             // The end of input may follow the queries, and no request must be started for a client that has
@@ -94,7 +98,8 @@
             }
             self.queue_simple_queries();
             while let Some((number, response)) = self.simple_queries.outstanding.try_response() {
-                self.simple_queries.finish(number, response);
+                self.simple_queries
+                    .finish(number, response, &mut self.processor_use);
             }
             self.start_simple_queries().await;
             self.shared.pipeline_memory_released.wake_next();
@@ -139,7 +144,10 @@
         let wakeup = next_wakeup(response, &self.cancellation, read);
         let capacity_changed = or(became_ready, or(memory_released, rejection_started));
         match or(wakeup, capacity_changed).await? {
-            Wakeup::Response(number, response) => self.simple_queries.finish(number, response),
+            Wakeup::Response(number, response) => {
+                self.simple_queries
+                    .finish(number, response, &mut self.processor_use);
+            }
             Wakeup::CancelRequested => self.cancel_simple_query().await,
             Wakeup::Progress => {}
         }
@@ -225,6 +233,7 @@
     }
 
     fn push_local_response(&mut self, response: LocalResponse) {
+        self.on_local_message();
         let bytes = response.memory_bytes();
         self.simple_queries
             .queue
@@ -262,11 +271,14 @@
     async fn start_simple_queries(&mut self) {
         while let Some(start) = self.simple_queries.queue.start_next() {
             let request = self.client_request(&start.request, start.query, start.received_at);
+            let processing_time = self.on_request_started();
             let outstanding = &mut self.simple_queries.outstanding;
-            let response_target = outstanding.insert(start.number, &request, Format::Text);
+            let response_target =
+                outstanding.insert(start.number, &request, Format::Text, processing_time);
             if !self.dispatch(request, response_target).await {
                 let response = FinalResponse::Failed("the router is ending");
-                self.simple_queries.finish(start.number, response);
+                self.simple_queries
+                    .finish(start.number, response, &mut self.processor_use);
             }
         }
     }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -15,6 +15,7 @@
 
 /// The lowest limit on open file descriptors. With fewer descriptors there are too few for clients and for endpoints.
 const MIN_DESCRIPTORS: u64 = 64;
+const DEFAULT_PROCESSORS: f64 = 1.0;
 const DEFAULT_DESCRIPTORS: u32 = 1024;
 /// The lowest memory limit that the file may set, in MiB.
 const MIN_MEMORY_MB: u64 = 1;
@@ -100,6 +101,8 @@
     pub seed: u64,
     /// The limit on open file descriptors of the process.
     pub descriptor_limit: usize,
+    /// The part of a processor that the process may use.
+    pub processors: f64,
     /// The limit on memory of the process, in bytes.
     pub memory_limit: usize,
     /// The last known endpoint list, with which the router starts: its version, if there is a list, and its entries.
@@ -177,6 +180,7 @@
                 "limits.sockets",
                 self.descriptor_limit != new.descriptor_limit,
             ),
+            ("limits.cores", self.processors != new.processors),
             ("limits.memory_mb", self.memory_limit != new.memory_limit),
             ("settings", self.settings != new.settings),
         ];
@@ -231,6 +235,7 @@
             descriptor_limit: usize::try_from(descriptors).unwrap_or(DEFAULT_DESCRIPTORS as usize),
             memory_limit: usize::try_from(memory_mb).unwrap_or(DEFAULT_MEMORY_MB as usize)
                 << BYTES_PER_MB_SHIFT,
+            processors: file.processors(),
             known_list,
             routing,
             extensions,
@@ -287,6 +292,15 @@
             })
     }
 
+    /// Returns the limit on processors; without a valid one, the process may use a whole processor.
+    fn processors(&self) -> f64 {
+        let cores = self.value.get("limits").and_then(|l| l.get("cores"));
+        cores
+            .and_then(Value::as_f64)
+            .filter(|cores| *cores > 0.0)
+            .unwrap_or(DEFAULT_PROCESSORS)
+    }
+
     /// Returns the last known endpoint list's version and entries; no version and no entries if there is no list.
     fn known_list(
         &self,
--- a/crates/router/src/observability/counters.rs
+++ b/crates/router/src/observability/counters.rs
@@ -109,6 +109,8 @@
     client_left_before_admission,
     /// Turns of a task that kept all others from running for 20 ms or more.
     slow_turns,
+    /// Pauses of clients that have used more than their share of processor time.
+    client_pauses,
     /// Parse messages for prepared statements sent to endpoints.
     statements_prepared,
     /// Prepared statements that an endpoint no longer held, and that were prepared again.
--- a/crates/router/src/runtime/shared.rs
+++ b/crates/router/src/runtime/shared.rs
@@ -22,7 +22,7 @@
 use reelrill_pg_session::limits::SharedBudgets;
 use reelrill_pg_session::request::ClassCatalog;
 use reelrill_pg_session::template::TemplateStore;
-use reelrill_routing::{EndpointId, Timestamp};
+use reelrill_routing::{EndpointId, ProcessorShare, Timestamp};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -35,6 +35,8 @@
     pub clock: Clock,
     /// Measures the turn of the running task.
     pub turns: TurnClock,
+    /// Grants processor time to the clients.
+    pub processor_share: RefCell<ProcessorShare>,
     /// The root logger.
     pub log: Logger,
     /// The router's counters.
@@ -123,6 +125,7 @@
             client_descriptors: DescriptorBudget::new(for_clients),
             upstream_descriptors: DescriptorBudget::new(available - for_clients),
             buffer_memory: MemoryBudget::new(config.memory_limit * LARGE_BUFFERS_PERCENT / 100),
+            processor_share: RefCell::new(ProcessorShare::new(config.processors)),
             config,
             log,
             counters: Counters::default(),
--- a/crates/router/src/runtime/turn.rs
+++ b/crates/router/src/runtime/turn.rs
@@ -1,12 +1,14 @@
 //! Runs the router's tasks on its one thread, and measures their turns. A turn is the time from when a task is resumed
 //! until it waits.
 //!
-//! A task that never waits keeps all others from running. A turn that takes too long is counted and logged when it ends.
+//! A task that never waits keeps all others from running, so a loop over input that may be available at any time must
+//! call [`TurnClock::yield_if_over`]. A turn that takes too long is counted and logged when it ends.
 
 use super::clock::Clock;
 use super::shared::Shared;
 use crate::observability::counters::count;
 use async_executor::LocalExecutor;
+use futures_lite::future::yield_now;
 use reelrill_routing::{Nanos, Timestamp};
 use slog::warn;
 use std::cell::Cell;
@@ -15,6 +17,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The length of a turn after which a task lets the others run, in nanoseconds.
+const MAX_TURN: Nanos = 1_000_000;
+/// The longest part of a turn that counts as processor time, in nanoseconds. A longer turn was interrupted by the system.
+const MAX_COUNTED_TURN: Nanos = 2_000_000;
 /// The length of a turn from which it counts as slow, in nanoseconds.
 const SLOW_TURN: Nanos = 20_000_000;
 /// The shortest interval between two log lines about slow turns, in nanoseconds.
@@ -66,6 +72,13 @@
     pub fn elapsed(&self) -> Nanos {
         self.clock.now().saturating_sub(self.started_at.get())
     }
+
+    /// Lets other tasks run if the current turn has taken long enough.
+    pub async fn yield_if_over(&self) {
+        if self.elapsed() >= MAX_TURN {
+            yield_now().await;
+        }
+    }
 }
 
 /// The processor time that a task has used.
@@ -77,11 +90,11 @@
 impl TaskMeter {
     /// Returns the time used in all turns, including the current one up to now. Must only be called by the task itself.
     pub fn used(&self, turns: &TurnClock) -> Nanos {
-        self.used.get() + turns.elapsed()
+        self.used.get() + turns.elapsed().min(MAX_COUNTED_TURN)
     }
 
     fn add(&self, turn: Nanos) {
-        self.used.set(self.used.get() + turn);
+        self.used.set(self.used.get() + turn.min(MAX_COUNTED_TURN));
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 mod outlier_detection;
 mod pending_request;
 mod primary_tracking;
+mod processor_share;
 mod random;
 mod replica_selection;
 mod retry;
@@ -32,6 +33,7 @@
     AttemptEnded, AttemptOutcome, EndpointEntry, EndpointState, Event, ListKind, ReplicationStatus,
     Request, Role,
 };
+pub use processor_share::{Allowance, ProcessorShare};
 pub use settings::{
     Class, Consistency, Idempotency, KeyScope, Limits, ListRole, Operation, ReportSource, Rules,
     SCHEDULING_DELAY, Settings, SettingsError, StaleReadPolicy, Tenant,
--- a/crates/routing/tests/failures/main.rs
+++ b/crates/routing/tests/failures/main.rs
@@ -8,6 +8,7 @@
 mod endpoint_list;
 mod outlier_detection;
 mod primary_tracking;
+mod processor_share;
 mod replica_selection;
 mod retry;
 mod session_consistency;
