--- a/crates/router/tests/fairness.rs
+++ b/crates/router/tests/fairness.rs
@@ -8,7 +8,7 @@
 };
 use rstest::rstest;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -287,3 +287,58 @@
         assert!(is_served, "{message:?}: {responses:?}");
     }
 }
+
+/// The moment from which an endpoint sends notices without end.
+#[derive(Clone, Copy, Debug)]
+enum EndlessNotices {
+    DuringStartup,
+    InPlaceOfResponse,
+}
+
+/// Starts an endpoint whose connections get notices without end, as fast as the router reads them.
+fn start_endless_endpoint(from: EndlessNotices) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || send_notices(stream, from));
+        }
+    });
+    address
+}
+
+fn send_notices(mut stream: TcpStream, from: EndlessNotices) {
+    let mut input = vec![0; 16 * 1024];
+    let _ = stream.read(&mut input);
+    if let EndlessNotices::InPlaceOfResponse = from {
+        let _ = stream.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I");
+        let _ = stream.read(&mut input);
+    }
+    let notices = b"N\0\0\0\x05\0".repeat(BATCH_BYTES);
+    while stream.write_all(&notices).is_ok() {}
+}
+
+/// Guards against a response that never ends and keeps the router's one thread busy, so that not even the time limit of its
+/// own attempt ends it (issue 43).
+#[rstest]
+fn requests_are_served_while_an_endpoint_sends_notices_without_end(
+    #[values(EndlessNotices::DuringStartup, EndlessNotices::InPlaceOfResponse)]
+    from: EndlessNotices,
+) {
+    let endpoint = FakeEndpoint::start("master", ScriptedResponse::Serve);
+    let mut endless = list_entry("s-2", start_endless_endpoint(from), "ready");
+    endless["pod_group"] = 1.into();
+    let list = vec![list_entry("s-1", endpoint.address, "ready"), endless];
+    let discovery = FakeDiscovery::start(Some(list.clone()));
+    let router = start_router_with(&discovery, &list, 512, settings(), None);
+    let mut others: Vec<Client> = (0..SENDERS).map(|_| router.connect_client()).collect();
+    for (client, id) in others.iter_mut().zip(1..) {
+        let query = select_query(id, 3 * WAIT_MS).replace("cluster=2", "cluster=1");
+        client.send(&query_message(&query));
+    }
+    let responses = read_for(router.address, Protocol::Simple, 1 << 32, FLOOD_DURATION);
+    assert_eq!(responses.not_served + responses.lost, 0, "{responses:?}");
+    for mut client in others {
+        assert_eq!(client.read_response().unwrap().sqlstate, "53300");
+    }
+}
