Let other tasks run while an endpoint or the discovery service sends without a pause

What callers saw: an endpoint that sends notices without end, during the startup or in place of a response, at full speed, stopped the whole router; requests for other endpoints were lost.

What is discarded after a fatal error is charged to the client's share, too.

Change: these loops call yield_if_over. A response may have two times the largest row (128 KiB), that of the startup 64 KiB; a head of the discovery service 64 KiB, because all of it is parsed again after each read (8 MiB before).

--- a/crates/router/src/client/accept_loop.rs
+++ b/crates/router/src/client/accept_loop.rs
@@ -25,6 +25,7 @@
     listener: Async<TcpListener>,
 ) {
     loop {
+        shared.turns.yield_if_over().await;
         let permit = acquire_permit(&shared).await;
         match listener.accept().await {
             Ok((stream, _)) => start_connection(&shared, &executor, stream, permit),
--- a/crates/router/src/client/closing.rs
+++ b/crates/router/src/client/closing.rs
@@ -103,7 +103,7 @@
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return discarded.get();
         }
-        let shared = &self.shared;
+        let shared = self.shared.clone();
         let discard = async {
             let read = |mut s: &TcpStream| s.read(&mut shared.discard_buffer.borrow_mut());
             loop {
@@ -112,6 +112,8 @@
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
                     Ok(0) | Err(_) => return,
                 }
+                self.on_local_message();
+                self.end_turn().await;
                 Timer::after(DISCARD_INTERVAL).await;
             }
         };
--- a/crates/router/src/discovery/client.rs
+++ b/crates/router/src/discovery/client.rs
@@ -12,7 +12,7 @@
 use futures_lite::future::or;
 use reelrill_routing::{Nanos, Timestamp};
 use reelrill_service_discovery::watch::{PollOutcome, PollRequest};
-use slog::{info, o, warn};
+use slog::{info, warn};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -116,10 +116,8 @@
     }
 
     async fn connect(&self, timeout: Nanos) -> Result<Connection, PollError> {
-        let log = self.shared.log.new(o!());
         let open = async {
-            let connection =
-                Connection::open(self.address.get(), &self.shared.buffer_memory, log).await?;
+            let connection = Connection::open(self.address.get(), self.shared.clone()).await?;
             Ok(connection)
         };
         or(open, time_out(timeout)).await
--- a/crates/router/src/discovery/http.rs
+++ b/crates/router/src/discovery/http.rs
@@ -3,15 +3,18 @@
 //! The connection owns the socket and its buffer, and logs one line when it is dropped. The caller applies timeouts.
 
 use crate::observability::close_reason::CloseReason;
-use crate::runtime::buffer::{Buffer, MemoryBudget};
+use crate::runtime::buffer::Buffer;
 use crate::runtime::interrupted::{retry_interrupted, write_all};
+use crate::runtime::shared::Shared;
 use async_io::Async;
-use slog::{Logger, info};
+use slog::info;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
-/// The maximum size of a response's head, and of its body, in bytes.
+/// The maximum size of a response's body in bytes.
 const MAX_SIZE: usize = 8 * 1024 * 1024;
+/// The maximum size of a response's head in bytes. The whole head is parsed again after each read.
+const MAX_HEAD_SIZE: usize = 64 * 1024;
 /// The maximum number of header fields in a response.
 const MAX_HEADERS: usize = 48;
 /// The length of the line break after a chunk's data, in bytes.
@@ -47,13 +50,13 @@
     is_reusable: bool,
     /// The reason that is logged when the connection is dropped.
     close_reason: CloseReason,
-    log: Logger,
+    shared: Rc<Shared>,
 }
 
 /// Logs exactly one line for each connection, no matter where it is dropped.
 impl Drop for Connection {
     fn drop(&mut self) {
-        info!(self.log, "connection ended"; "with" => "discovery", "reason" => self.close_reason.code());
+        info!(self.shared.log, "connection ended"; "with" => "discovery", "reason" => self.close_reason.code());
     }
 }
 
@@ -70,11 +73,7 @@
     ///
     /// # Errors
     /// Fails if the connection can't be established.
-    pub async fn open(
-        host: SocketAddr,
-        memory: &Rc<MemoryBudget>,
-        log: Logger,
-    ) -> Result<Connection, HttpError> {
+    pub async fn open(host: SocketAddr, shared: Rc<Shared>) -> Result<Connection, HttpError> {
         let stream = retry_interrupted(async || Async::<TcpStream>::connect(host).await).await?;
         stream.get_ref().set_nodelay(true)?;
         // The reason if the connection is dropped during a request: the caller has replaced the request by another one,
@@ -82,11 +81,11 @@
         let close_reason = CloseReason::Replaced;
         Ok(Connection {
             stream,
-            buffer: Buffer::new(memory),
+            buffer: Buffer::new(&shared.buffer_memory),
             host,
             is_reusable: true,
             close_reason,
-            log,
+            shared,
         })
     }
 
@@ -151,6 +150,9 @@
                 self.buffer.consume(len);
                 break head;
             }
+            if self.buffer.bytes().len() > MAX_HEAD_SIZE {
+                return Err(HttpError::Length);
+            }
             self.fill_more().await?;
         };
         self.is_reusable = head.is_keep_alive;
@@ -177,6 +179,7 @@
     }
 
     async fn fill(&mut self) -> std::io::Result<usize> {
+        self.shared.turns.yield_if_over().await;
         retry_interrupted(async || self.buffer.fill(&self.stream).await).await
     }
 
@@ -208,6 +211,7 @@
     async fn read_chunks(&mut self) -> Result<Vec<u8>, HttpError> {
         let mut body = Vec::new();
         loop {
+            self.shared.turns.yield_if_over().await;
             let size =
                 httparse::parse_chunk_size(self.buffer.bytes()).map_err(|_| HttpError::Length)?;
             let httparse::Status::Complete((line_len, size)) = size else {
--- a/crates/router/src/discovery/registry/mod.rs
+++ b/crates/router/src/discovery/registry/mod.rs
@@ -115,6 +115,7 @@
     pub async fn run(mut self) {
         self.start().await;
         loop {
+            self.shared.turns.yield_if_over().await;
             let wakeup = self.next_wakeup().await;
             let now = self.shared.clock.now();
             let mut changes = Vec::new();
--- a/crates/router/src/upstream/connect.rs
+++ b/crates/router/src/upstream/connect.rs
@@ -25,6 +25,9 @@
 /// The pause before each retry after a shortage on the router's host.
 const HOST_RETRY_PAUSE: Duration = Duration::from_millis(10);
 
+/// The maximum length of the response to the startup message, in bytes.
+const MAX_STARTUP_RESPONSE_LENGTH: u64 = 64 * 1024;
+
 /// Returns the connect timeout in nanoseconds. It includes the wait for a file descriptor.
 pub fn connect_timeout(shared: &Shared) -> Nanos {
     match shared.config.routing.settings.limits.connect_timeout {
@@ -110,6 +113,10 @@
 /// Reads the endpoint's messages up to ReadyForQuery.
 async fn await_ready_for_query(connection: &mut UpstreamConnection) -> Result<(), AttemptOutcome> {
     loop {
+        connection.yield_if_over().await;
+        if connection.buffer.bytes_read() > MAX_STARTUP_RESPONSE_LENGTH {
+            return Err(AttemptOutcome::ConnectFailed);
+        }
         match frame::parse(connection.buffer.bytes(), frame::MAX_SMALL_MESSAGE_LENGTH) {
             Ok(Some((b'E', body, _))) => {
                 let error_code = backend::error_sqlstate(body).map(str::to_owned);
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -27,6 +27,8 @@
 
 /// The longest pause within a response.
 const RESPONSE_PAUSE_LIMIT: Duration = Duration::from_millis(100);
+/// The maximum length of a response in bytes: the largest row, and room for the small messages around it.
+const MAX_RESPONSE_LENGTH: u64 = 2 * frame::MAX_ROW_LENGTH as u64;
 /// The length in bytes that the message of a simple query has besides its text: tag, length and terminating zero.
 const QUERY_FRAMING_LENGTH: usize = 1 + 4 + 1;
 /// The interval in nanoseconds at which a connection notifies discovery that its endpoint responds.
@@ -119,6 +121,11 @@
         self.close_reason = reason;
     }
 
+    /// Lets other tasks run if the current turn has taken long enough.
+    pub(super) async fn yield_if_over(&self) {
+        self.shared.turns.yield_if_over().await;
+    }
+
     /// Returns whether the connection is open and has no unread bytes. If the endpoint has closed it or sent unexpected
     /// bytes, it cannot be used.
     pub fn is_open(&self) -> bool {
@@ -291,7 +298,12 @@
             CloseReason::MalformedResponse,
             ExchangeError::MalformedResponse,
         );
+        let end = self.buffer.bytes_read() + MAX_RESPONSE_LENGTH;
         loop {
+            self.yield_if_over().await;
+            if self.buffer.bytes_read() > end {
+                return Err(MALFORMED);
+            }
             let progress = match frame::parse_backend(self.buffer.bytes()) {
                 Ok(Some((tag, body, length))) => {
                     let progress = response.add_message(tag, body);
