Remove the timers of requests that have ended before their deadlines

Cause: DeadlineQueue kept the timer of each request until its deadline, also when the request had ended. Class: memory bounded by time and not by what is in use.

Change: once obsolete timers may be more than half, they are removed in one pass, so each costs a constant time.

The new test fails without the removal (deadlines::tests::timers_of_ended_requests_take_no_lasting_memory).

--- a/crates/router/src/dispatcher/deadlines.rs
+++ b/crates/router/src/dispatcher/deadlines.rs
@@ -20,10 +20,15 @@
     RequestDeadline(RequestId),
 }
 
+/// The number of entries below which obsolete ones are not removed before they expire.
+const MIN_LENGTH_TO_COMPACT: usize = 1024;
+
 /// Holds entries ordered by expiry time, and entries of equal time by kind.
 #[derive(Debug, Default)]
 pub struct DeadlineQueue {
     entries: BinaryHeap<Reverse<(Timestamp, DeadlineEntry)>>,
+    /// The number of entries that were left after obsolete ones were last removed.
+    compacted_length: usize,
 }
 
 impl DeadlineQueue {
@@ -32,6 +37,17 @@
         self.entries.push(Reverse((at, entry)));
     }
 
+    /// Removes the entries for which `is_needed` returns `false`, once they may be more than half of all. Otherwise those
+    /// of requests that end at once would stay until their deadlines.
+    pub fn compact(&mut self, is_needed: impl Fn(&DeadlineEntry) -> bool) {
+        if self.entries.len() < MIN_LENGTH_TO_COMPACT.max(2 * self.compacted_length) {
+            return;
+        }
+        self.entries.retain(|Reverse((_, entry))| is_needed(entry));
+        self.compacted_length = self.entries.len();
+        self.entries.shrink_to(2 * self.compacted_length);
+    }
+
     /// Returns the time at which the first entry expires.
     pub fn next_expiry(&self) -> Option<Timestamp> {
         self.entries.peek().map(|Reverse((at, _))| *at)
--- a/crates/router/src/dispatcher/deadlines/tests.rs
+++ b/crates/router/src/dispatcher/deadlines/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the timer queue.
 
-use super::{DeadlineEntry, DeadlineQueue};
+use super::{DeadlineEntry, DeadlineQueue, MIN_LENGTH_TO_COMPACT};
 
 /// Guards against timers that fire early or in the wrong order.
 #[test]
@@ -23,3 +23,19 @@
     );
     assert_eq!(queue.next_expiry(), None);
 }
+
+/// Guards against memory that grows with each request that ends before its deadline (issue 43): its timer stayed until
+/// then.
+#[test]
+fn timers_of_ended_requests_take_no_lasting_memory() {
+    const PENDING: u64 = 100;
+    let mut queue = DeadlineQueue::default();
+    for id in 0..1_000_000 {
+        queue.add(1000 + id, DeadlineEntry::RequestDeadline(id));
+        queue.compact(|entry| matches!(entry, DeadlineEntry::RequestDeadline(id) if *id < PENDING));
+        assert!(queue.entries.len() <= MIN_LENGTH_TO_COMPACT);
+    }
+    let expired = std::iter::from_fn(|| queue.pop_expired(u64::MAX));
+    let pending = expired.filter(|e| matches!(e, DeadlineEntry::RequestDeadline(0..PENDING)));
+    assert_eq!(pending.count() as u64, PENDING);
+}
--- a/crates/router/src/dispatcher/mod.rs
+++ b/crates/router/src/dispatcher/mod.rs
@@ -105,6 +105,7 @@
             }
             self.process_events();
             self.handle_expired_deadlines();
+            self.deadlines.compact(|entry| self.requests.needs(entry));
             if consecutive_messages >= MAX_CONSECUTIVE_MESSAGES {
                 consecutive_messages = 0;
                 yield_now().await;
--- a/crates/router/src/dispatcher/request_table.rs
+++ b/crates/router/src/dispatcher/request_table.rs
@@ -4,6 +4,7 @@
 //! [`ResponseTarget`] of a request only once, so that a request cannot get two final responses. The table makes no
 //! decisions and sends nothing.
 
+use super::deadlines::DeadlineEntry;
 use crate::messages::{CancellationFlag, ResponseTarget};
 use crate::write_permit::AttemptControl;
 use reelrill_pg_session::endpoint_query::EndpointQuery;
@@ -186,6 +187,18 @@
         self.requests.insert(id, request);
     }
 
+    /// Returns whether a timer can still have an effect.
+    pub fn needs(&self, entry: &DeadlineEntry) -> bool {
+        match entry {
+            DeadlineEntry::BalancerTimer(_) => true,
+            DeadlineEntry::RequestDeadline(id) => self.requests.contains_key(id),
+            DeadlineEntry::AttemptTimeout(id, number)
+            | DeadlineEntry::WriteDeadline(id, number) => self
+                .get(*id)
+                .is_some_and(|request| request.attempts().iter().any(|a| a.number == *number)),
+        }
+    }
+
     /// Returns the request with this id.
     pub fn get(&self, id: RequestId) -> Option<&PendingRequest> {
         self.requests.get(&id)
