Keep the hash of a session's name, not the name

Here: served writes under new session names, where requests do not carry their session's position (sessionMarks: kept).

Class: memory bounded by a count without bytes.

Change: the commit times are kept under a 64-bit hash of the name. Sessions with the same hash share the later time, so a read may require newer data than necessary, never older.

The new test fails with the names kept (2 references, 1 expected).

--- a/crates/routing/src/session_consistency.rs
+++ b/crates/routing/src/session_consistency.rs
@@ -3,9 +3,10 @@
 //!
 //! Where requests do not carry their session's position, the balancer records the commit time of
 //! each session's last write. The number of entries is bounded: at the limit all are cleared, and
-//! the latest commit time among them becomes the lower bound for every session. A read may then
-//! require newer data than necessary, but never older. Owns these commit times; it must never
-//! weaken the consistency of a class.
+//! the latest commit time among them becomes the lower bound for every session. Of a session's name,
+//! whose length clients choose, only the hash is kept. A read may then require newer data than
+//! necessary, but never older. Owns these commit times; it must never weaken the consistency of a
+//! class.
 
 use crate::action::Action;
 use crate::balancer::Balancer;
@@ -15,6 +16,7 @@
 use crate::settings::{Consistency, Operation, StaleReadPolicy};
 use crate::units::{Nanos, Timestamp};
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::Arc;
 
 /// Largest number of sessions whose last write is recorded; above it, all entries are replaced by
@@ -31,7 +33,8 @@
 /// recorded write.
 #[derive(Default)]
 pub(crate) struct SessionCommits {
-    last_commits: BTreeMap<Arc<str>, Timestamp>,
+    /// By the hash of the session's name. Sessions with the same hash share the later commit time.
+    last_commits: BTreeMap<u64, Timestamp>,
     /// Lower bound for all sessions: no earlier than any entry that was cleared.
     floor: Option<Timestamp>,
 }
@@ -39,7 +42,9 @@
 impl SessionCommits {
     /// Returns the log position that a read of the session needs, if any.
     pub(crate) fn required_position(&self, session: Option<&Arc<str>>) -> Option<Timestamp> {
-        let session_commit = session.and_then(|s| self.last_commits.get(s)).copied();
+        let session_commit = session
+            .and_then(|s| self.last_commits.get(&session_hash(s)))
+            .copied();
         session_commit.max(self.floor)
     }
 
@@ -50,12 +55,22 @@
             self.last_commits.clear();
         }
         if let Some(session) = session {
-            let last = self.last_commits.entry(session).or_insert(commit);
+            let last = self
+                .last_commits
+                .entry(session_hash(&session))
+                .or_insert(commit);
             *last = commit.max(*last);
         }
     }
 }
 
+/// Returns the hash of a session's name, the same in every run.
+fn session_hash(session: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    session.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Balancer {
     /// Returns the log position that a read of the request's session needs, if any, including
     /// writes whose responses may be lost.
--- a/crates/routing/tests/failures/session_consistency.rs
+++ b/crates/routing/tests/failures/session_consistency.rs
@@ -2,6 +2,7 @@
 
 use crate::common::*;
 use reelrill_routing::*;
+use std::sync::Arc;
 
 /// Guards against a stale read after a write of the same session, at a replica that has not applied
 /// it.
@@ -185,3 +186,29 @@
         assert!(!is_rejected(&actions) && !is_failed(&actions));
     }
 }
+
+/// Guards against memory that grows with the names that clients give their sessions (issue 43): of 200,000 sessions, each
+/// name of up to 64 KiB was kept.
+#[test]
+fn name_of_a_session_is_not_kept_after_its_write() {
+    let mut router = TestRouter::new(settings());
+    router.warm_up();
+    let name: Arc<str> = "s".repeat(64 * 1024).into();
+    let request = Request {
+        id: 900,
+        class: WRITE,
+        replica_set: 1,
+        session: Some(name.clone()),
+        since_write: None,
+        tenant: None,
+        expected_execution_time: None,
+        is_retry: false,
+        time_left: 1000 * MS,
+    };
+    let actions = router.handle(Event::Request(request));
+    assert_eq!(sent_to(&actions), Some("a"));
+    let commit = primary_status(router.now);
+    router.end_attempt(900, "a", 0, AttemptOutcome::Served, commit);
+    router.handle(Event::ClientDisconnected { request: 900 });
+    assert_eq!(Arc::strong_count(&name), 1);
+}
