Start no further requests of a client that may have left behind unread input

Requests went on starting, and attempts that waited for a connection were written, until a response was written and the client's system reset the connection. Class: a peer's state that is only known from what it sends, while nothing is read.

Change: while input is left unread, requests start in batches, and the next one only 5 ms after a write (StartGate). Without a response to write, a ParameterStatus that repeats the session's own is written every 25 ms; the protocol page has clients ignore it. Its reset ends the requests that have not been written.

--- a/crates/pg-protocol/src/backend.rs
+++ b/crates/pg-protocol/src/backend.rs
@@ -33,6 +33,11 @@
     put_ready_for_query(out);
 }
 
+/// Appends a ParameterStatus with a value that the client has received at the start of the session, so it has no effect.
+pub fn put_session_parameter(out: &mut Vec<u8>) {
+    put_message(out, b'S', &[SESSION_PARAMETERS[0]]);
+}
+
 /// Parses a BackendKeyData: the process id and the secret key of the session.
 pub fn parse_key_data(body: &[u8]) -> Option<(u32, u32)> {
     let (process, rest) = body.split_first_chunk::<4>()?;
--- a/crates/router/src/client/connection.rs
+++ b/crates/router/src/client/connection.rs
@@ -10,6 +10,7 @@
 use super::reading::{READ_AHEAD_LIMIT, ShutdownReadLimit, starts_with_complete_message};
 use super::rejection::Rejection;
 use super::simple_queries::SimpleQueries;
+use super::start_gate::StartGate;
 use super::terminate_scan::TerminateScan;
 use super::turn_end::ProcessorUse;
 use super::{closing, socket};
@@ -97,6 +98,8 @@
     /// Whether the client may have written input that has not reached the router's socket yet.
     pub(super) backlog: InputBacklog,
     terminate_scan: TerminateScan,
+    /// Delays the start of requests while the client's disconnect may be hidden.
+    pub(super) start_gate: StartGate,
     /// The progress of messages that are rejected without being stored.
     pub(super) rejection: Rejection,
 }
@@ -125,6 +128,7 @@
             shutdown_read_limit: ShutdownReadLimit::default(),
             backlog: InputBacklog::default(),
             terminate_scan: TerminateScan::default(),
+            start_gate: StartGate::default(),
             rejection: Rejection::default(),
             shared,
         }
@@ -362,6 +366,15 @@
 
     /// Writes all of `bytes` to the client.
     pub(super) async fn write(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
-        socket::write_to_client(&self.stream, bytes).await
+        socket::write_to_client(&self.stream, bytes).await?;
+        self.start_gate.on_written(self.shared.clock.now());
+        Ok(())
+    }
+
+    /// Returns whether requests may start now, although the client may have left behind unread input.
+    pub(super) fn may_start_requests(&mut self) -> bool {
+        let now = self.shared.clock.now();
+        let has_backlog = self.backlog.may_exist_at(now);
+        self.start_gate.may_start(now, has_backlog)
     }
 }
--- a/crates/router/src/client/extended_queries.rs
+++ b/crates/router/src/client/extended_queries.rs
@@ -7,7 +7,10 @@
 use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error};
 use super::turn_end::ProcessorUse;
-use super::wakeup::{Wakeup, next_wakeup, wait_for_memory, wait_for_rejection};
+use super::wakeup::{
+    Wakeup, next_wakeup, wait_for_memory, wait_for_rejection, wait_for_start_gate,
+    wait_for_write_due,
+};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
@@ -273,12 +276,16 @@
         let memory_released = wait_for_memory(&self.shared, is_waiting_for_memory);
         let response = extended.outstanding.response();
         let wakeup = next_wakeup(response, &self.cancellation, read);
-        let capacity_changed = or(memory_released, rejection_started);
+        let gate_opened = wait_for_start_gate(&self.shared, &self.start_gate);
+        let write_due = wait_for_write_due(&self.shared, &self.start_gate, &self.backlog);
+        let client_may_have_left = or(gate_opened, write_due);
+        let capacity_changed = or(or(memory_released, rejection_started), client_may_have_left);
         let abandoned = match or(wakeup, capacity_changed).await? {
             Wakeup::Response(number, response) => {
                 extended.finish(number, response, &mut self.processor_use)
             }
             Wakeup::CancelRequested => extended.cancel_first(&mut self.processor_use),
+            Wakeup::WriteDue => return self.write_without_effect().await,
             Wakeup::Progress => Vec::new(),
         };
         self.notify_cancelled(abandoned).await;
@@ -359,6 +366,9 @@
     }
 
     async fn start_pipelined_requests(&mut self) {
+        if !self.may_start_requests() {
+            return;
+        }
         while let Some(start) = self
             .extended_queries
             .as_mut()
@@ -366,6 +376,7 @@
         {
             let now = self.shared.clock.now();
             let request = self.client_request(&start.request, start.query, now);
+            self.start_gate.on_started();
             let processing_time = self.on_request_started();
             let Some(extended) = &mut self.extended_queries else {
                 return;
--- a/crates/router/src/client/input_backlog.rs
+++ b/crates/router/src/client/input_backlog.rs
@@ -47,6 +47,11 @@
         self.may_exist |= self.has_unread_input;
     }
 
+    /// Returns whether input is left unread, so that the end of the input can't be seen.
+    pub fn has_unread_input(&self) -> bool {
+        self.has_unread_input
+    }
+
     /// Returns whether the client may have written input that has not been read by `now`.
     pub fn may_exist_at(&self, now: Timestamp) -> bool {
         self.may_exist && (self.has_unread_input || now < self.paused_at())
--- a/crates/router/src/client/mod.rs
+++ b/crates/router/src/client/mod.rs
@@ -7,6 +7,7 @@
 //!   dispatcher is processing, and `wakeup` the events that the client's task waits for meanwhile.
 //! - `reading` limits how much is read, `terminate_scan` finds the end of the session in it, `input_backlog` tracks whether a client may have written more, and `rejection`
 //!   rejects messages without storing them.
+//! - `start_gate` delays requests of a client that may have left behind unread input.
 //! - `turn_end` lets other tasks run, and pauses clients that use too much processor time.
 //! - `responses` encodes final responses, `closing` closes connections, and `socket`
 //!   writes to a client's socket.
@@ -25,6 +26,7 @@
 mod responses;
 mod simple_queries;
 mod socket;
+mod start_gate;
 mod terminate_scan;
 mod turn_end;
 mod wait_limits;
--- a/crates/router/src/client/simple_queries.rs
+++ b/crates/router/src/client/simple_queries.rs
@@ -7,7 +7,10 @@
 use super::reading::read_ahead;
 use super::responses::{WRITE_BATCH_SIZE, put_error, put_result};
 use super::turn_end::ProcessorUse;
-use super::wakeup::{Wakeup, next_wakeup, wait_for_memory, wait_for_rejection};
+use super::wakeup::{
+    Wakeup, next_wakeup, wait_for_memory, wait_for_rejection, wait_for_start_gate,
+    wait_for_write_due,
+};
 use crate::messages::FinalResponse;
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
@@ -142,13 +145,20 @@
             &self.backlog,
         );
         let wakeup = next_wakeup(response, &self.cancellation, read);
-        let capacity_changed = or(became_ready, or(memory_released, rejection_started));
+        let gate_opened = wait_for_start_gate(&self.shared, &self.start_gate);
+        let capacity_changed = or(memory_released, rejection_started);
+        let write_due = wait_for_write_due(&self.shared, &self.start_gate, &self.backlog);
+        let capacity_changed = or(
+            became_ready,
+            or(capacity_changed, or(gate_opened, write_due)),
+        );
         match or(wakeup, capacity_changed).await? {
             Wakeup::Response(number, response) => {
                 self.simple_queries
                     .finish(number, response, &mut self.processor_use);
             }
             Wakeup::CancelRequested => self.cancel_simple_query().await,
+            Wakeup::WriteDue => self.write_without_effect().await?,
             Wakeup::Progress => {}
         }
         Ok(())
@@ -269,8 +279,12 @@
     }
 
     async fn start_simple_queries(&mut self) {
+        if !self.may_start_requests() {
+            return;
+        }
         while let Some(start) = self.simple_queries.queue.start_next() {
             let request = self.client_request(&start.request, start.query, start.received_at);
+            self.start_gate.on_started();
             let processing_time = self.on_request_started();
             let outstanding = &mut self.simple_queries.outstanding;
             let response_target =
--- a/crates/router/src/client/wakeup.rs
+++ b/crates/router/src/client/wakeup.rs
@@ -1,11 +1,15 @@
 //! Waits for events of a client with outstanding requests, and sends requests and cancellations to the dispatcher.
 
 use super::connection::ClientConnection;
+use super::input_backlog::InputBacklog;
+use super::start_gate::StartGate;
 use crate::messages::{ClientRequest, FinalResponse, Message, ResponseTarget};
 use crate::observability::close_reason::CloseReason;
 use crate::observability::counters::count;
 use crate::runtime::shared::{CancellationSignal, Shared};
+use async_io::Timer;
 use futures_lite::future::{or, pending};
+use reelrill_pg_protocol::backend;
 use reelrill_routing::RequestId;
 use std::io;
 
@@ -13,6 +17,8 @@
 pub enum Wakeup {
     /// The request with this number has its response.
     Response(u64, FinalResponse),
+    /// A write is due that shows whether the client has left behind unread input.
+    WriteDue,
     /// The client has sent a cancel request, which applies to its first outstanding request.
     CancelRequested,
     /// More input has been read, memory has been released, the router has become ready to serve, or new requests are
@@ -74,7 +80,36 @@
     Ok(Wakeup::Progress)
 }
 
+/// Waits until the next batch of requests may start, if a time is known, and forever otherwise.
+pub async fn wait_for_start_gate(shared: &Shared, gate: &StartGate) -> Result<Wakeup, CloseReason> {
+    match gate.opens_at() {
+        Some(at) => Timer::at(shared.clock.instant(at)).await,
+        None => pending().await,
+    };
+    Ok(Wakeup::Progress)
+}
+
+/// Waits until a write is due that shows whether the client has left, if its input is left unread, and forever otherwise.
+pub async fn wait_for_write_due(
+    shared: &Shared,
+    gate: &StartGate,
+    backlog: &InputBacklog,
+) -> Result<Wakeup, CloseReason> {
+    if !backlog.has_unread_input() {
+        return pending().await;
+    }
+    Timer::at(shared.clock.instant(gate.write_due_at())).await;
+    Ok(Wakeup::WriteDue)
+}
+
 impl ClientConnection {
+    /// Writes a message that has no effect. If the client has closed its connection, its system responds with a reset.
+    pub(super) async fn write_without_effect(&mut self) -> Result<(), CloseReason> {
+        let mut out = Vec::new();
+        backend::put_session_parameter(&mut out);
+        self.write(&out).await
+    }
+
     /// Sends a request to the dispatcher. Returns whether the dispatcher accepted it, which it does not once it has
     /// ended.
     pub(super) async fn dispatch(
