Do not execute a request again whose id comes again after its client has left

Cause: RequestTable::complete released the client's id as soon as no response was due, although an attempt was still in progress or had been cancelled after it was written: a cancel stops nothing. Class: a verdict (not in use) from the response's state instead of the execution's.

Reads, which may run again, are not affected; a request that never reached an endpoint is not either, so a client may resend one whose connection the router has closed.

--- a/crates/router/src/dispatcher/attempts.rs
+++ b/crates/router/src/dispatcher/attempts.rs
@@ -97,6 +97,9 @@
         let execution = attempt.control.end();
         let outcome = self.final_outcome(execution, result.outcome, is_cancelled);
         count(outcome_counter(&self.shared.counters, outcome));
+        if !outcome.is_never_executed() {
+            self.record_execution(client_request_id, class);
+        }
         let latency = self.shared.clock.now().saturating_sub(attempt.sent_at);
         let replication =
             self.attempt_replication_status(&attempt, class, outcome, result.replication);
--- a/crates/router/src/dispatcher/mod.rs
+++ b/crates/router/src/dispatcher/mod.rs
@@ -32,7 +32,8 @@
 use futures_lite::future::{or, yield_now};
 use mailbox::Mailbox;
 use reelrill_routing::{
-    AttemptOutcome, Balancer, EndpointId, Event, ListKind, ReplicationStatus, SettingsError,
+    AttemptOutcome, Balancer, EndpointId, Event, ExecutedRequests, ListKind, ReplicationStatus,
+    SettingsError,
 };
 use request_table::RequestTable;
 use std::collections::{HashMap, VecDeque};
@@ -52,6 +53,7 @@
     list_requests: Sender<EndpointListRequest>,
     pools: HashMap<EndpointId, PoolHandle>,
     requests: RequestTable,
+    executed_requests: ExecutedRequests,
     deadlines: DeadlineQueue,
     /// Events that the balancer has not processed yet.
     events: VecDeque<Event>,
@@ -68,6 +70,7 @@
         list_requests: Sender<EndpointListRequest>,
     ) -> Result<Dispatcher, SettingsError> {
         let settings = shared.config.routing.settings.clone();
+        let executed_requests = ExecutedRequests::new(&settings.classes);
         Ok(Dispatcher {
             balancer: Balancer::new(shared.config.seed, settings)?,
             platform_clock: PlatformClock::default(),
@@ -76,6 +79,7 @@
             list_requests,
             pools: HashMap::new(),
             requests: RequestTable::default(),
+            executed_requests,
             deadlines: DeadlineQueue::default(),
             events: VecDeque::new(),
         })
--- a/crates/router/src/dispatcher/request_table.rs
+++ b/crates/router/src/dispatcher/request_table.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Returns whether an endpoint may have executed an attempt that is in progress.
+    pub fn may_have_executed(&self) -> bool {
+        let mut attempts = self.attempts().iter();
+        attempts.any(|attempt| attempt.control.may_have_executed())
+    }
+
     /// Adds an attempt that has just been started.
     pub fn add_attempt(&mut self, attempt: InFlightAttempt) {
         self.attempts_made += 1;
--- a/crates/router/src/dispatcher/requests.rs
+++ b/crates/router/src/dispatcher/requests.rs
@@ -26,17 +26,30 @@
             count(&self.shared.counters.rejected);
             return respond(target, FinalResponse::Rejected { retry_after: None });
         }
-        if self
-            .requests
-            .is_client_request_id_in_use(request.client_request_id)
-        {
-            // Endpoints would treat a second request with the same id as a repetition of the first.
+        if self.is_client_request_id_in_use(request.client_request_id) {
+            // Endpoints would treat a second request with the same id as a repetition of the first, or execute it again.
             count(&self.shared.counters.invalid_statements);
             return respond(target, FinalResponse::Failed("this id is already in use"));
         }
         self.admit(request, target);
     }
 
+    /// Returns whether a request with this id is pending, or may have been executed and must not be executed again.
+    fn is_client_request_id_in_use(&mut self, client_request_id: u64) -> bool {
+        let now = self.shared.clock.now();
+        self.requests.is_client_request_id_in_use(client_request_id)
+            || self.executed_requests.contains(now, client_request_id)
+    }
+
+    /// Records that a request of a class may have been executed.
+    pub(super) fn record_execution(&mut self, client_request_id: u64, class: u32) {
+        let classes = &self.shared.config.routing.settings.classes;
+        if let Some(class) = classes.get(class as usize) {
+            let now = self.shared.clock.now();
+            self.executed_requests.insert(now, client_request_id, class);
+        }
+    }
+
     fn admit(&mut self, request: ClientRequest, target: ResponseTarget) {
         let now = self.shared.clock.now();
         debug!(self.shared.log, "request admitted"; "request" => format_args!("{:016x}", request.client_request_id),
@@ -83,6 +96,11 @@
 
     /// Completes a request whose client disconnected or cancelled it. No response is due.
     pub(super) fn on_request_cancelled(&mut self, request: RequestId) {
+        if let Some(pending) = self.requests.get(request)
+            && pending.may_have_executed()
+        {
+            self.record_execution(pending.client_request_id, pending.class);
+        }
         if self.requests.complete(request).is_none() {
             return;
         }
--- a/crates/router/src/write_permit.rs
+++ b/crates/router/src/write_permit.rs
@@ -53,9 +53,14 @@
         }
     }
 
+    /// Returns whether an endpoint may have executed the attempt by now.
+    pub fn may_have_executed(&self) -> bool {
+        self.0.is_executable.get()
+    }
+
     /// Ends the attempt if no endpoint can have executed it. Returns whether the attempt has ended.
     pub fn end_if_never_executed(&self) -> bool {
-        !self.0.is_executable.get() && self.end() == Execution::Never
+        !self.may_have_executed() && self.end() == Execution::Never
     }
 }
 
--- a/crates/router/tests/departed_clients.rs
+++ b/crates/router/tests/departed_clients.rs
@@ -54,6 +54,10 @@
 
 impl Setup {
     fn start() -> Setup {
+        Setup::start_with(base_settings())
+    }
+
+    fn start_with(settings: serde_json::Value) -> Setup {
         let replica_set = FakeReplicaSet::new("s-2", Duration::ZERO, Duration::from_secs(2));
         let address = ([127, 0, 0, 1], 0).into();
         let hanging = FakeEndpoint::start("master", ScriptedResponse::NoResponse);
@@ -69,7 +73,7 @@
         let list = vec![hanging_entry, serving.list_entry(2, "ready")];
         let discovery = FakeDiscovery::start(Some(list.clone()));
         let extensions = Some("extended: {mode: on}");
-        let router = start_router_with(&discovery, &list, 512, base_settings(), extensions);
+        let router = start_router_with(&discovery, &list, 512, settings, extensions);
         Setup {
             hanging,
             serving,
@@ -142,3 +146,48 @@
         );
     }
 }
+
+/// Returns a write under this id and key.
+fn write_query(id: u64, key: u64) -> String {
+    format!(
+        "INSERT INTO facts (code, data) VALUES ('k', 'v') RETURNING data \
+         /* id={id:016x},c=book,d=8000,k={key:016x},cluster=1 */"
+    )
+}
+
+/// Guards against a write that is executed twice because its id comes again after its client has left (issue 43): while
+/// the first attempt is in progress, and after it was cancelled. A read under the same id may run again.
+#[rstest]
+fn id_that_comes_again_after_its_client_has_left_is_not_executed_again(
+    #[values(false, true)] may_cancel: bool,
+) {
+    let mut settings = base_settings();
+    settings["ceilings"]["mayCancel"] = may_cancel.into();
+    let setup = Setup::start_with(settings);
+    let mut client = setup.router.connect_client();
+    client.send(&query_message(&write_query(7, 1)));
+    let is_received =
+        |activity: &mut EndpointActivity| (!activity.queries.is_empty()).then_some(());
+    assert!(
+        setup
+            .hanging
+            .activity
+            .wait_for(WAIT_TIMEOUT, is_received)
+            .is_some()
+    );
+    drop(client);
+    assert!(setup.router.wait_for_counter("client_left=1"));
+    let mut other = setup.router.connect_client();
+    let again = other.simple_query(&write_query(7, 2));
+    assert_eq!(
+        (again.sqlstate.as_str(), setup.request_count()),
+        ("58000", 1),
+        "{again:?}"
+    );
+    let response = &setup.hanging.response;
+    response.with(|r| *r = ScriptedResponse::Serve);
+    assert_eq!(other.simple_query(&write_query(8, 3)).sqlstate, "");
+    for _ in 0..2 {
+        assert_eq!(other.simple_query(&select_query(9, 8000)).sqlstate, "");
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod endpoint_list;
 mod event;
+mod executed_requests;
 mod latency_cost;
 mod outlier_detection;
 mod pending_request;
@@ -33,6 +34,7 @@
     AttemptEnded, AttemptOutcome, EndpointEntry, EndpointState, Event, ListKind, ReplicationStatus,
     Request, Role,
 };
+pub use executed_requests::ExecutedRequests;
 pub use processor_share::{Allowance, ProcessorShare};
 pub use settings::{
     Class, Consistency, Idempotency, KeyScope, Limits, ListRole, Operation, ReportSource, Rules,
