Release the room of clients' queues, and keep smaller buffers and response channels

Cause: each client kept the capacity of its longest queue (128 queries or 256 commands, up to 50 kB), channels whose slots hold whole results (21 kB with extended queries), and a read buffer of 16 KiB, all outside the budgets. Class: memory by a count of clients without bytes.

Change: a queue releases its room once it is four times as long as its content; FinalResponse holds its result in a box; an empty read buffer keeps 8 KiB.

--- a/crates/pg-session/src/limits.rs
+++ b/crates/pg-session/src/limits.rs
@@ -5,6 +5,7 @@
 //! [`Budget::reserve_regardless`] and [`Reservation::resize_regardless`].
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 /// Counts how much of a shared limit is in use.
@@ -117,6 +118,17 @@
     pub prepared: usize,
 }
 
+/// The capacity in items that a queue keeps, whatever its length.
+const RETAINED_CAPACITY: usize = 8;
+
+/// Releases the memory of a queue that has become much shorter than it was. Otherwise each client would keep the room for
+/// its longest queue.
+pub(crate) fn release_capacity<T>(queue: &mut VecDeque<T>) {
+    if queue.capacity() > RETAINED_CAPACITY.max(4 * queue.len()) {
+        queue.shrink_to(2 * queue.len());
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 pub enum FinalResponse {
     /// An endpoint executed the statement.
-    Served(QueryResult),
+    Served(Box<QueryResult>),
     /// The request was rejected without a result, and the client may retry it.
     Rejected {
         /// The delay before a retry, in nanoseconds.
@@ -129,7 +129,7 @@
     /// The replication status from the endpoint's load report.
     pub report: ReplicationStatus,
     /// The result of the statement, if the outcome is [`AttemptOutcome::Served`].
-    pub query_result: Option<QueryResult>,
+    pub query_result: Option<Box<QueryResult>>,
 }
 
 impl AttemptResult {
--- a/crates/router/src/runtime/buffer.rs
+++ b/crates/router/src/runtime/buffer.rs
@@ -12,7 +12,7 @@
 const INITIAL_SIZE: usize = 2048;
 /// The largest size in bytes at which an empty buffer keeps its memory. Only the bytes above it count towards the
 /// [`MemoryBudget`].
-const RETAINED_SIZE: usize = 16 * 1024;
+const RETAINED_SIZE: usize = 8 * 1024;
 
 /// Limits the memory that all buffers together use beyond the retained size of each. Otherwise many large messages at
 /// once, complete or not, could exceed the memory limit of the process.
--- a/crates/router/src/upstream/exchange.rs
+++ b/crates/router/src/upstream/exchange.rs
@@ -149,7 +149,7 @@
         outcome,
         replication,
         report,
-        query_result,
+        query_result: query_result.map(Box::new),
     }
 }
 
--- a/crates/router/tests/pipeline_memory.rs
+++ b/crates/router/tests/pipeline_memory.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::*;
-use reelrill_test_support::client::{bind_and_execute, parse_message, query_message, sync_message};
+use reelrill_test_support::client::{
+    bind_and_execute, parse_message, query_message, startup_message, sync_message,
+};
 use rstest::rstest;
 use std::io::Write;
 
@@ -161,3 +163,40 @@
     let peak_kb = router.peak_memory_kb();
     assert!(peak_kb <= limits.memory_mb * 1024, "{peak_kb} kB");
 }
+
+/// Guards against the memory that hundreds of clients hold after many small messages (issue 43): each kept the room for its
+/// longest queue, and the process exceeded its limit.
+#[rstest]
+fn memory_of_hundreds_of_clients_stays_within_the_limit(
+    #[values(Protocol::Simple, Protocol::Extended)] protocol: Protocol,
+) {
+    const CROWD: usize = 540;
+    const MESSAGES: usize = 300;
+    let endpoint = FakeEndpoint::start("master", ScriptedResponse::Serve);
+    let list = vec![list_entry("s-1", endpoint.address, "ready")];
+    let discovery = FakeDiscovery::start(Some(list.clone()));
+    let limits = ProcessLimits {
+        sockets: 1024,
+        memory_mb: 32,
+    };
+    let extensions = protocol.extensions();
+    let router = start_router_with(&discovery, &list, limits, base_settings(), extensions);
+    let message = match protocol {
+        Protocol::Simple => query_message("SELECT nothing"),
+        Protocol::Extended => [parse_message("", "SELECT nothing", &[]), sync_message()].concat(),
+    };
+    let messages = [startup_message(), message.repeat(MESSAGES)].concat();
+    // All connections are in the backlog before the router accepts the first.
+    router.signal("STOP");
+    let mut crowd: Vec<Client> = (0..CROWD)
+        .map(|_| Client::connect(router.address))
+        .collect();
+    crowd.iter_mut().for_each(|client| client.send(&messages));
+    router.signal("CONT");
+    for client in &mut crowd {
+        let responses = (0..=MESSAGES).map_while(|_| client.read_response());
+        assert_eq!(responses.filter(|r| r.tags == "EZ").count(), MESSAGES);
+    }
+    let peak_kb = router.peak_memory_kb();
+    assert!(peak_kb <= limits.memory_mb * 1024, "{peak_kb} kB");
+}
