--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Starts the built router binary for the tests and formats the query that most of them send.
 #![allow(dead_code)]
 
+pub mod flood;
+
 pub use reelrill_test_support::*;
 use serde_json::Value;
 
