Read the clock less often, and fit the buffer test to the kept size

Turns were checked for each message of an endpoint and for each event of a pool.

Change: they are checked before a read; a pool's events are bounded by its channels.

--- a/crates/pg-session/src/extended/pipeline.rs
+++ b/crates/pg-session/src/extended/pipeline.rs
@@ -8,7 +8,7 @@
 
 use super::{Output, StartedRequest};
 use crate::endpoint_query::EndpointQuery;
-use crate::limits::{Budget, Reservation, release_capacity};
+use crate::limits::{Budget, RETAINED_CAPACITY, Reservation, release_capacity};
 use crate::request::ValidatedRequest;
 use reelrill_pg_protocol::Format;
 use reelrill_pg_protocol::frame::MAX_ROW_LENGTH;
@@ -319,7 +319,8 @@
     /// Releases the memory of the responses that were returned by [`pop_ready`](Self::pop_ready), which have been
     /// written to the client.
     pub(super) fn on_written(&mut self) {
-        self.unwritten = Vec::new();
+        self.unwritten.clear();
+        self.unwritten.shrink_to(RETAINED_CAPACITY);
         release_capacity(&mut self.entries);
     }
 
--- a/crates/pg-session/src/limits.rs
+++ b/crates/pg-session/src/limits.rs
@@ -119,7 +119,7 @@
 }
 
 /// The capacity in items that a queue keeps, whatever its length.
-const RETAINED_CAPACITY: usize = 8;
+pub(crate) const RETAINED_CAPACITY: usize = 8;
 
 /// Releases the memory of a queue that has become much shorter than it was. Otherwise each client would keep the room for
 /// its longest queue.
--- a/crates/pg-session/src/queue.rs
+++ b/crates/pg-session/src/queue.rs
@@ -14,7 +14,7 @@
 //! response: that response can be sent at once, so every queue makes progress.
 
 use crate::endpoint_query::EndpointQuery;
-use crate::limits::{Budget, Reservation, release_capacity};
+use crate::limits::{Budget, RETAINED_CAPACITY, Reservation, release_capacity};
 use crate::request::ValidatedRequest;
 use reelrill_pg_protocol::frame::MAX_ROW_LENGTH;
 use reelrill_routing::Timestamp;
@@ -348,7 +348,8 @@
     /// Releases the memory of the responses that were returned by [`pop_output`](Self::pop_output), which have been
     /// written to the client.
     pub fn on_written(&mut self) {
-        self.unwritten = Vec::new();
+        self.unwritten.clear();
+        self.unwritten.shrink_to(RETAINED_CAPACITY);
         release_capacity(&mut self.entries);
     }
 
--- a/crates/router/src/runtime/buffer/tests.rs
+++ b/crates/router/src/runtime/buffer/tests.rs
@@ -38,7 +38,7 @@
     let (mut first, mut second) = (Buffer::new(&budget), Buffer::new(&budget));
     assert_eq!(
         (fill(&mut first), fill(&mut second)),
-        (64 * 1024, 32 * 1024)
+        (64 * 1024, 2 * RETAINED_SIZE)
     );
     let error = first.free_space().unwrap_err();
     assert!(MemoryLimitReached::caused(&error));
--- a/crates/router/src/upstream/connect.rs
+++ b/crates/router/src/upstream/connect.rs
@@ -113,10 +113,6 @@
 /// Reads the endpoint's messages up to ReadyForQuery.
 async fn await_ready_for_query(connection: &mut UpstreamConnection) -> Result<(), AttemptOutcome> {
     loop {
-        connection.yield_if_over().await;
-        if connection.buffer.bytes_read() > MAX_STARTUP_RESPONSE_LENGTH {
-            return Err(AttemptOutcome::ConnectFailed);
-        }
         match frame::parse(connection.buffer.bytes(), frame::MAX_SMALL_MESSAGE_LENGTH) {
             Ok(Some((b'E', body, _))) => {
                 let error_code = backend::error_sqlstate(body).map(str::to_owned);
@@ -129,6 +125,10 @@
                 }
             }
             Ok(None) => {
+                connection.yield_if_over().await;
+                if connection.buffer.bytes_read() > MAX_STARTUP_RESPONSE_LENGTH {
+                    return Err(AttemptOutcome::ConnectFailed);
+                }
                 let filled = connection.buffer.fill(&connection.stream).await;
                 if filled.map_err(|e| connect_outcome(&e))? == 0 {
                     return Err(AttemptOutcome::ConnectFailed);
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -300,10 +300,6 @@
         );
         let end = self.buffer.bytes_read() + MAX_RESPONSE_LENGTH;
         loop {
-            self.yield_if_over().await;
-            if self.buffer.bytes_read() > end {
-                return Err(MALFORMED);
-            }
             let progress = match frame::parse_backend(self.buffer.bytes()) {
                 Ok(Some((tag, body, length))) => {
                     let progress = response.add_message(tag, body);
@@ -311,6 +307,10 @@
                     progress
                 }
                 Ok(None) => {
+                    self.yield_if_over().await;
+                    if self.buffer.bytes_read() > end {
+                        return Err(MALFORMED);
+                    }
                     self.read_more(response).await?;
                     continue;
                 }
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -146,7 +146,6 @@
     /// Runs until the handle is dropped, or until the pool has been empty for [`UNUSED_TIMEOUT`].
     pub async fn run(mut self, commands: Receiver<PoolCommand>) {
         loop {
-            self.shared.turns.yield_if_over().await;
             let wakeup = self.next_wakeup(&commands).await;
             if self.handle(wakeup, &commands).await.is_break() {
                 return;
--- a/crates/router/tests/soak.rs
+++ b/crates/router/tests/soak.rs
@@ -101,8 +101,8 @@
     )
 }
 
-/// Sends requests one after the other until the connection can't be opened any more, or `is_killed` is set. A request
-/// counts if it was sent before `is_ending` was set.
+/// Sends requests one after the other. Those sent before `is_ending` is set count; after it, the open connection is used
+/// until it ends.
 fn send_requests(address: SocketAddr, first: u64, is_ending: &AtomicBool) -> Outcomes {
     let mut outcomes = Outcomes::default();
     let mut client: Option<Client> = None;
